--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,941 @@
+//! All decisions of the router: where a view goes, where its fill comes from, when it is given up.
+//!
+//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time.
+//! Whenever something happens it sets the [`clock`](Control::clock) and calls the method named for it
+//! ([`view`](Control::view), [`answered`](Control::answered), [`listed`](Control::listed), ...). The
+//! control acts by calling the host, whose trait and plain types are in [`crate::host`].
+//!
+//! ```
+//! use tindoor::{control::Control, host::*, time::*};
+//! struct Printer;
+//! impl Host for Printer {
+//!     fn look(&mut self, view: ViewNo, cache: CacheNo, _: Span) { println!("{view:?} to {cache:?}") }
+//!     fn read(&mut self, view: ViewNo, cache: CacheNo, _: Span, terms: Terms) {
+//!         println!("{view:?} to {cache:?}, a miss from {:?}", terms.source)
+//!     }
+//!     fn call_off(&mut self, _: ViewNo, _: u16) {}
+//!     fn turn_back(&mut self, view: ViewNo, _: Option<Span>) { println!("{view:?} turned back") }
+//!     fn write_off(&mut self, view: ViewNo) { println!("{view:?} written off") }
+//!     fn wake_in(&mut self, _: Span) {}
+//!     fn subscribe(&mut self) {}
+//! }
+//! let facts = [("offerings", 1.0), ("offering.0.cut_off", 2e6), ("offering.0.latency_goal", 3e5),
+//!     ("drain_grace", 5e5), ("location", 1.0)];
+//! let facts = facts.map(|(name, value)| (name.to_string(), Fact::Number(value))).into();
+//! let mut control = Control::start(Printer, facts, 7, Moment::at_micros(0)).unwrap();
+//! let asked = Asked { object: 5, part: 0, group: 0, offering: 0, kb: None };
+//! control.view(ViewNo(0), asked, Span::millis(900)); // no cache is listed: turned back
+//! ```
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::host::{
+    Asked, CacheNo, Fact, Facts, Host, ListForm, Listed, Note, Standing, Terms, Verdict, ViewNo,
+};
+use crate::time::{Moment, Span};
+
+/// What may happen to a view that may have run already.
+#[derive(Clone, Copy, PartialEq)]
+enum Effect {
+    Repeatable,
+    Tagged,
+    OnceOnly,
+}
+
+struct Offering {
+    effect: Effect,
+    runs_at_origin: bool,
+    goal: Span,
+    fresh: Span,
+    older_by: Span,
+    hits: Samples<Span>,
+    fills: Samples<Span>,
+}
+
+/// The last few of something measured.
+struct Samples<T>(VecDeque<T>, usize);
+
+impl<T: Copy> Samples<T> {
+    fn last(size: usize) -> Self {
+        Self(VecDeque::with_capacity(size), size)
+    }
+
+    fn add(&mut self, sample: T) {
+        if self.0.len() == self.1 {
+            self.0.pop_front();
+        }
+        self.0.push_back(sample);
+    }
+
+    fn quantile<K: Copy + PartialOrd>(&self, part: f64, key: impl Fn(&T) -> K) -> Option<K> {
+        let mut sorted: Vec<K> = self.0.iter().map(key).collect();
+        sorted.sort_by(|a, b| a.partial_cmp(b).expect("samples are numbers"));
+        sorted.get((part * sorted.len() as f64) as usize).copied()
+    }
+}
+
+/// The work per second in samples of work, over the time that they span.
+fn pace(samples: &Samples<(Moment, f64)>) -> f64 {
+    match (samples.0.front(), samples.0.back()) {
+        (Some(first), Some(last)) if samples.0.len() >= 12 => {
+            samples.0.iter().map(|s| s.1).sum::<f64>() / last.0.since(first.0).as_secs().max(0.5)
+        }
+        _ => 0.0,
+    }
+}
+
+/// One end of a dispatch, as a sign of the health of whoever had a hand in it.
+#[derive(Clone, Copy)]
+struct Sign {
+    good: bool,
+    /// Time taken over what is usual.
+    slowness: f64,
+}
+
+/// A cache, a parent or the origin, as this router knows it.
+struct Member {
+    listed: Listed,
+    signs: Samples<Sign>,
+    out: u32,
+    waiting_since: Moment,
+    heard: Moment,
+    gaps: Samples<Span>,
+    /// Set while it is left out for what it did; a few trial views go to it after that moment.
+    out_until: Option<Moment>,
+    outages: i32,
+    /// Work sent while it was cold, by time, view and dispatch.
+    drawn: VecDeque<(Moment, f64, u64, u16)>,
+}
+
+/// One dispatch made for a view.
+struct Dispatch {
+    cache: CacheNo,
+    source: Option<CacheNo>,
+    sent: Moment,
+    open: bool,
+    called_off: bool,
+    /// Known not to have run.
+    void: bool,
+}
+
+/// A view in hand.
+struct Held {
+    serial: u64,
+    asked: Asked,
+    end: Moment,
+    dispatches: Vec<Dispatch>,
+    retry_at: Option<Moment>,
+    bad_sources: Vec<CacheNo>,
+    finished: bool,
+    streaming: bool,
+}
+
+impl Held {
+    /// When, and where, it first may have run; a dispatch that is out may.
+    fn ran(&self) -> Option<(Moment, CacheNo)> {
+        self.dispatches.iter().find(|d| !d.void).map(|d| (d.sent, d.cache))
+    }
+}
+
+/// The decisions of one router.
+pub struct Control<H: Host> {
+    host: H,
+    facts: Facts,
+    now: Moment,
+    chance: Pcg64Mcg,
+    offerings: Vec<Offering>,
+    members: Vec<Option<Member>>,
+    views: Vec<Option<Held>>,
+    serial: u64,
+    purges: HashMap<(bool, u64), Moment>,
+    purge_order: VecDeque<(Moment, (bool, u64))>,
+    alarms: BinaryHeap<Reverse<(Moment, u64, ViewNo)>>,
+    next_wake: Option<Moment>,
+    resubscribe: Option<Moment>,
+    arrivals: Samples<(Moment, f64)>,
+    fills: Samples<(Moment, f64)>,
+    sends: Samples<bool>,
+}
+
+/// Mixes stable ids into an even 64 bits.
+fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(29);
+    for _ in 0..2 {
+        x = (x ^ (x >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+    }
+    x ^ (x >> 32)
+}
+
+/// A hash as a number above 0 and below 1.
+fn unit(hash: u64) -> f64 {
+    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+impl<H: Host> Control<H> {
+    /// Takes up work with nothing known but the facts; says which one is missing.
+    pub fn start(host: H, facts: Facts, seed: u64, now: Moment) -> Result<Self, String> {
+        let mut control = Self {
+            host,
+            facts,
+            now,
+            chance: Pcg64Mcg::seed_from_u64(seed),
+            offerings: Vec::new(),
+            members: Vec::new(),
+            views: Vec::new(),
+            serial: 0,
+            purges: HashMap::new(),
+            purge_order: VecDeque::new(),
+            alarms: BinaryHeap::new(),
+            next_wake: None,
+            resubscribe: None,
+            arrivals: Samples::last(256),
+            fills: Samples::last(128),
+            sends: Samples::last(64),
+        };
+        for name in ["offerings", "location", "drain_grace"] {
+            control.need(name)?;
+        }
+        for i in 0..control.need("offerings")? as usize {
+            control.need(&format!("offering.{i}.cut_off"))?;
+            let fact = |what: &str| control.fact(&format!("offering.{i}.{what}"), 0.0);
+            let offering = Offering {
+                effect: match control.word(&format!("offering.{i}.effect")) {
+                    "repeatable" | "" => Effect::Repeatable,
+                    "tagged" => Effect::Tagged,
+                    _ => Effect::OnceOnly,
+                },
+                runs_at_origin: fact("runs_at_origin") > 0.0,
+                goal: Span::micros(control.need(&format!("offering.{i}.latency_goal"))? as u64),
+                fresh: Span::micros(fact("fresh") as u64),
+                older_by: Span::micros(fact("older_by") as u64),
+                hits: Samples::last(64),
+                fills: Samples::last(64),
+            };
+            control.offerings.push(offering);
+        }
+        if control.fact("list_on_request", 0.0) > 0.0 {
+            control.host.subscribe();
+        }
+        Ok(control)
+    }
+
+    fn need(&self, name: &str) -> Result<f64, String> {
+        match self.facts.get(name) {
+            Some(Fact::Number(value)) => Ok(*value),
+            _ => Err(format!("{name} is not set")),
+        }
+    }
+
+    fn fact(&self, name: &str, default: f64) -> f64 {
+        self.need(name).unwrap_or(default)
+    }
+
+    fn span(&self, name: &str, default: Span) -> Span {
+        self.need(name).map_or(default, |micros| Span::micros(micros as u64))
+    }
+
+    fn word(&self, name: &str) -> &str {
+        match self.facts.get(name) {
+            Some(Fact::Word(word)) => word,
+            _ => "",
+        }
+    }
+
+    /// What the control acts through.
+    pub fn host(&mut self) -> &mut H {
+        &mut self.host
+    }
+
+    /// The time of all that is called next.
+    pub fn clock(&mut self, now: Moment) {
+        self.now = now;
+    }
+
+    /// The time asked for by `wake_in` has passed.
+    pub fn wake(&mut self) {
+        self.next_wake = None;
+        if self.resubscribe.is_some_and(|due| due <= self.now) {
+            self.resubscribe = None;
+            self.host.subscribe();
+        }
+        while let Some(&Reverse((due, serial, no))) = self.alarms.peek() {
+            if due > self.now {
+                break;
+            }
+            self.alarms.pop();
+            if self.held(no).is_some_and(|held| held.serial == serial && !held.finished) {
+                self.due(no);
+            }
+        }
+        self.plan_wake();
+    }
+
+    fn alarm(&mut self, at: Moment, no: ViewNo) {
+        let serial = self.held(no).map_or(0, |held| held.serial);
+        self.alarms.push(Reverse((at, serial, no)));
+        self.plan_wake();
+    }
+
+    fn plan_wake(&mut self) {
+        let first = self.alarms.peek().map(|Reverse(alarm)| alarm.0);
+        let Some(due) = first.into_iter().chain(self.resubscribe).min() else { return };
+        if self.next_wake.is_none_or(|planned| due < planned) {
+            self.next_wake = Some(due);
+            self.host.wake_in(due.since(self.now));
+        }
+    }
+
+    fn held(&self, no: ViewNo) -> Option<&Held> {
+        self.views.get(no.0 as usize)?.as_ref()
+    }
+
+    fn held_mut(&mut self, no: ViewNo) -> Option<&mut Held> {
+        self.views.get_mut(no.0 as usize)?.as_mut()
+    }
+
+    fn member(&self, cache: CacheNo) -> Option<&Member> {
+        self.members.get(cache.0 as usize)?.as_ref()
+    }
+
+    fn member_mut(&mut self, cache: CacheNo) -> Option<&mut Member> {
+        self.members.get_mut(cache.0 as usize)?.as_mut()
+    }
+
+    /// News of the list of caches.
+    pub fn listed(&mut self, form: ListForm, lines: &[Listed]) {
+        if form == ListForm::Failed {
+            let pause = Span::secs(self.chance.random_range(0.5..1.5));
+            self.resubscribe = Some(self.now + pause);
+            self.plan_wake();
+        }
+        if form == ListForm::Whole {
+            for member in self.members.iter_mut().flatten() {
+                if !lines.iter().any(|line| line.cache == member.listed.cache) {
+                    member.listed.standing = Standing::Gone;
+                }
+            }
+        }
+        for line in lines {
+            let place = line.cache.0 as usize;
+            if self.members.len() <= place {
+                self.members.resize_with(place + 1, || None);
+            }
+            match &mut self.members[place] {
+                // Gone; its size and place still tell how the load was shared.
+                Some(member) if line.standing == Standing::Gone => member.listed.standing = Standing::Gone,
+                None if line.standing == Standing::Gone => {}
+                // The same life goes on: what was learned of its health stays.
+                Some(member) if member.listed.started == line.started => member.listed = *line,
+                empty => {
+                    *empty = Some(Member {
+                        listed: *line,
+                        signs: Samples::last(16),
+                        out: empty.as_ref().map_or(0, |member| member.out),
+                        waiting_since: self.now,
+                        heard: self.now,
+                        gaps: Samples::last(16),
+                        out_until: None,
+                        outages: 0,
+                        drawn: VecDeque::new(),
+                    })
+                }
+            }
+        }
+    }
+
+    /// An object, or else a whole group, was purged so long ago.
+    pub fn purged(&mut self, object: Option<u64>, group: u32, ago: Span) {
+        let key = object.map_or((false, u64::from(group)), |object| (true, object));
+        let at = self.now - ago;
+        let newest = self.purges.entry(key).or_insert(at);
+        *newest = at.max(*newest);
+        self.purge_order.push_back((self.now, key));
+        // Memory stays bounded: once no older copy can be left anywhere, a purge is forgotten.
+        let gone = self.span("copies_gone_after", Span::secs(60.0));
+        while let Some(&(told, key)) = self.purge_order.front() {
+            if self.now.since(told) <= gone {
+                break;
+            }
+            self.purge_order.pop_front();
+            if self.purges.get(&key).is_some_and(|at| self.now.since(*at) > gone) {
+                self.purges.remove(&key);
+            }
+        }
+    }
+
+    /// A view was taken; its client waits for so long.
+    pub fn view(&mut self, no: ViewNo, asked: Asked, left: Span) {
+        self.serial += 1;
+        // The answer must be out before the client leaves: a few milliseconds are kept for it.
+        let held = Held {
+            serial: self.serial,
+            asked,
+            end: self.now + (left - Span::millis(6)),
+            dispatches: Vec::new(),
+            retry_at: None,
+            bad_sources: Vec::new(),
+            finished: false,
+            streaming: false,
+        };
+        let end = held.end;
+        if self.views.len() <= no.0 as usize {
+            self.views.resize_with(no.0 as usize + 1, || None);
+        }
+        self.views[no.0 as usize] = Some(held);
+        let work = self.work(&asked);
+        self.arrivals.add((self.now, work));
+        self.alarm(end, no);
+        self.route(no);
+    }
+
+    /// Nobody waits for this view any more.
+    pub fn left(&mut self, no: ViewNo) {
+        self.finish(no);
+    }
+
+    /// A streamed answer began: the dispatch belongs to the client now.
+    pub fn started(&mut self, no: ViewNo) {
+        if let Some(held) = self.held_mut(no) {
+            held.streaming = true;
+        }
+    }
+
+    /// What a view will cost in sending time: by its size where that is told, else by its offering's hits.
+    fn work(&self, asked: &Asked) -> f64 {
+        let told = asked.kb.filter(|kb| *kb > 0.0).zip(self.need("client_kb_per_s").ok());
+        if let Some((kb, pace)) = told.filter(|told| told.1 > 0.0) {
+            return f64::from(kb) / pace;
+        }
+        self.mean_work(asked.offering)
+    }
+
+    /// The mean sending time of an offering, as its hits show it; its latency goal before there are any.
+    fn mean_work(&self, offering: u16) -> f64 {
+        let Some(offering) = self.offerings.get(offering as usize) else { return 1.0 };
+        let hits = &offering.hits.0;
+        if hits.len() < 4 {
+            return offering.goal.as_secs();
+        }
+        hits.iter().map(|took| took.as_secs()).sum::<f64>() / hits.len() as f64
+    }
+
+    fn is_parent(&self, member: &Member) -> bool {
+        f64::from(member.listed.kind) == self.fact("parent_kind", -1.0)
+    }
+
+    fn is_origin(&self, member: &Member) -> bool {
+        f64::from(member.listed.kind) == self.fact("origin_kind", -1.0)
+    }
+
+    fn is_local_cache(&self, member: &Member) -> bool {
+        let local = f64::from(member.listed.location) == self.fact("location", 0.0);
+        local && !self.is_parent(member) && !self.is_origin(member)
+    }
+
+    /// Members of one tier in the order of the weighted rendezvous hash, best first.
+    fn order(&self, hash: u64, tier: impl Fn(&Member) -> bool) -> Vec<CacheNo> {
+        let ready = |m: &&Member| m.listed.standing == Standing::Ready && tier(m);
+        let mut scored: Vec<(f64, CacheNo)> = (self.members.iter().flatten().filter(ready))
+            .map(|m| {
+                let draw = unit(mix(m.listed.stable, hash));
+                (-draw.ln() / f64::from(m.listed.size.max(1e-3)), m.listed.cache)
+            })
+            .collect();
+        scored.sort_by(|a, b| a.partial_cmp(b).expect("hashes are numbers"));
+        scored.into_iter().map(|scored| scored.1).collect()
+    }
+
+    /// The part of its capacity that a member surely has by now: 1 once it is warm.
+    fn warmth(&self, member: &Member) -> f64 {
+        let (floor, span) = match self.is_parent(member) {
+            true => ("parent_floor", "parent_warm_within"),
+            false => ("cold_floor", "warm_within"),
+        };
+        let Some(started) = member.listed.started.filter(|_| !self.is_origin(member)) else { return 1.0 };
+        let floor = self.fact(floor, 1.0);
+        let gained = self.now.since(started).as_secs() / self.span(span, Span::ZERO).as_secs().max(0.001);
+        (floor + (1.0 - floor) * gained).min(1.0)
+    }
+
+    /// Rule 4: whether a cold member can take this work without any danger of falling over. The budget
+    /// of a sliding window is what it surely has, times the multiple that it bears, times the window.
+    /// Its capacity is put low: this router's own flow, shared over all members ever listed beside it.
+    /// As every router counts only the flow that comes to itself, their budgets add up to one.
+    fn bears(&self, member: &Member, work: f64) -> bool {
+        let warmth = self.warmth(member);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let (multiple, flow) = match self.is_parent(member) {
+            true => (self.fact("parent_multiple", 1.0), pace(&self.fills)),
+            false => (self.fact("cold_multiple", 1.0), pace(&self.arrivals)),
+        };
+        let beside = |m: &&Member| match self.is_parent(member) {
+            true => self.is_parent(m),
+            false => self.is_local_cache(m),
+        };
+        let sizes: f64 =
+            (self.members.iter().flatten().filter(beside)).map(|m| f64::from(m.listed.size)).sum();
+        let capacity = flow * f64::from(member.listed.size) / sizes.max(1e-3) * 0.7;
+        let window = self.span("cold_window", Span::secs(1.0));
+        let spent: f64 = (member.drawn.iter())
+            .filter(|drawn| self.now.since(drawn.0) <= window)
+            .map(|drawn| drawn.1)
+            .sum();
+        spent == 0.0 || spent + work <= warmth * multiple * capacity * window.as_secs() * 0.8
+    }
+
+    /// How little a member suits a view: 0 is an ordinary one; among equals the hash order decides.
+    fn penalty(&self, no: CacheNo, hash: u64, tried: bool) -> u32 {
+        let Some(member) = self.member(no) else { return u32::MAX };
+        // Objects come back to a restarted member one by one, at every router the same ones.
+        let away = unit(mix(hash, member.listed.stable.rotate_left(32))) >= self.warmth(member);
+        u32::from(self.ill(member)) * 8
+            + u32::from(tried) * 4
+            + u32::from(away) * 2
+            + u32::from(self.crowded(member))
+    }
+
+    /// Left out, and not yet due for a trial view.
+    fn ill(&self, member: &Member) -> bool {
+        member.out_until.is_some_and(|until| until > self.now || member.out > 0)
+    }
+
+    /// A hot object can outgrow its cache: views beyond a fair bound go to the next in its order.
+    fn crowded(&self, member: &Member) -> bool {
+        if !self.is_local_cache(member) {
+            return false;
+        }
+        let (mut out, mut size) = (0.0, 0.0);
+        for other in self.members.iter().flatten().filter(|m| self.is_local_cache(m)) {
+            out += f64::from(other.out);
+            size += f64::from(other.listed.size);
+        }
+        f64::from(member.out) > 4.0 + 1.5 * out * f64::from(member.listed.size) / size
+    }
+
+    /// Picks the cache and the source of a view and dispatches it, or gives it up.
+    fn route(&mut self, no: ViewNo) {
+        let Some(held) = self.held_mut(no) else { return };
+        held.retry_at = None;
+        let asked = held.asked;
+        let Some(offering) = self.offerings.get(asked.offering as usize) else { return self.give_up(no) };
+        let through = offering.runs_at_origin;
+        let direct = self.fact("direct", 0.0) > 0.0;
+        let hash = mix(asked.object, u64::from(asked.part));
+        let origin = self.order(hash, |m| self.is_origin(m)).first().copied();
+        let plain = self.fact("fills", 1.0) == 0.0;
+        if let Some(origin) = origin.filter(|_| through && direct) {
+            return self.send(no, origin, None);
+        }
+        let Some(held) = self.held(no) else { return };
+        let tried = |cache: &CacheNo| held.dispatches.iter().any(|d| d.cache == *cache && !d.called_off);
+        let work = self.mean_work(asked.offering);
+        let bearable = |cache: &CacheNo| self.member(*cache).is_some_and(|m| self.bears(m, work));
+        let mut source = (self.order(hash, |m| self.is_parent(m)).into_iter().filter(bearable))
+            .min_by_key(|parent| self.penalty(*parent, hash, held.bad_sources.contains(parent)))
+            .or(origin);
+        let mut cache = (self.order(hash, |m| self.is_local_cache(m)).into_iter().filter(bearable))
+            .min_by_key(|cache| self.penalty(*cache, hash, tried(cache) && held.bad_sources.is_empty()));
+        if plain {
+            source = None;
+        } else if through {
+            source = origin;
+        } else if cache.is_none() && direct {
+            // No cache of the location can take it: the parent answers by itself.
+            cache = source;
+        }
+        match cache {
+            Some(cache) => self.send(no, cache, source),
+            None => self.give_up(no),
+        }
+    }
+
+    /// The one place that every send passes; here the rules are kept.
+    fn send(&mut self, no: ViewNo, cache: CacheNo, source: Option<CacheNo>) {
+        let second_copies = self.fact("second_copies", 0.0) > 0.0;
+        let most = self.fact("most_dispatches", 1.0) as usize;
+        let Some(held) = self.held(no) else { return };
+        let Some(offering) = self.offerings.get(held.asked.offering as usize) else { return };
+        // Rule 1: nothing after the final answer, and time must be left for one.
+        let left = held.end.since(self.now);
+        if held.finished || held.streaming {
+            return;
+        }
+        // Rule 2: what may have run goes again only where a repeat does no harm.
+        let group = self.word(&format!("offering.{}.group", held.asked.offering));
+        let place = |cache: CacheNo| self.member(cache).map(|m| (m.listed.location, m.listed.cell));
+        let window = self.span(&format!("offering.{}.window", held.asked.offering), Span::ZERO);
+        let harmless = match (offering.effect, held.ran()) {
+            (Effect::Repeatable, _) | (_, None) => true,
+            (Effect::OnceOnly, Some(_)) => false,
+            (Effect::Tagged, Some((since, first))) => {
+                let same = match (group, place(first), place(cache)) {
+                    ("all", _, _) => true,
+                    ("location", Some(a), Some(b)) => a.0 == b.0,
+                    ("cell", Some(a), Some(b)) => a == b,
+                    _ => false,
+                };
+                same && self.now.since(since) + Span::millis(20) < window
+            }
+        };
+        let open = held.dispatches.iter().filter(|d| d.open).count();
+        let alone = open == 0 || (second_copies && open == 1 && offering.effect == Effect::Repeatable);
+        // Rule 3: a cache that drains or is gone gets nothing, be it as cache or as source.
+        let ready = |no: CacheNo| self.member(no).is_some_and(|m| m.listed.standing == Standing::Ready);
+        let both_ready = ready(cache) && source.is_none_or(ready);
+        // Rule 4: a cold cache or source is not pushed over.
+        let work = self.mean_work(held.asked.offering);
+        let bears = |no: CacheNo| self.member(no).is_some_and(|m| self.bears(m, work));
+        let borne = bears(cache) && source.is_none_or(bears);
+        if left < Span::millis(10)
+            || !harmless
+            || !alone
+            || !both_ready
+            || !borne
+            || held.dispatches.len() >= most
+        {
+            return self.give_up(no);
+        }
+        // Rule 5: the oldest copy allowed is younger than the newest purge that this router knows of.
+        let purge = [(true, held.asked.object), (false, u64::from(held.asked.group))];
+        let purged = purge.iter().filter_map(|key| self.purges.get(key)).max();
+        let since_purge = purged.map(|at| self.now.since(*at).max(Span::micros(1)));
+        let retry = !held.dispatches.is_empty();
+        // A copy past its fresh time earns less; it is taken when the first dispatch has failed.
+        let limit = match (offering.fresh, retry) {
+            (Span::ZERO, _) => None,
+            (fresh, false) => since_purge.map(|_| fresh),
+            (fresh, true) => Some(fresh + offering.older_by),
+        };
+        let oldest = limit.into_iter().chain(since_purge).min();
+        let keep = !offering.runs_at_origin;
+        let renew = keep && offering.fresh > Span::ZERO && source.is_some_and(|s| self.is_warm(s));
+        let wait = self.patience(held, left);
+        let check = self.hush(cache);
+        let serial = held.serial;
+        let (view_end, nth) = (held.end, held.dispatches.len() as u16);
+        match source {
+            Some(source) => {
+                let terms = Terms { source, oldest, join: keep, renew, rank: u8::from(keep) };
+                self.host.read(no, cache, wait, terms)
+            }
+            None => self.host.look(no, cache, wait),
+        }
+        let now = self.now;
+        let window = self.span("cold_window", Span::secs(1.0));
+        for place in [Some(cache), source.filter(|s| *s != cache)].into_iter().flatten() {
+            let cold = self.member(place).is_some_and(|m| self.warmth(m) < 1.0);
+            let Some(member) = self.member_mut(place) else {
+                continue;
+            };
+            member.drawn.retain(|drawn| now.since(drawn.0) <= window);
+            if cold {
+                member.drawn.push_back((now, work, serial, nth));
+            }
+        }
+        if let Some(member) = self.member_mut(cache) {
+            if member.out == 0 {
+                member.waiting_since = now;
+            }
+            member.out += 1;
+        }
+        self.sends.add(retry);
+        if let Some(held) = self.held_mut(no) {
+            let sent = now;
+            held.dispatches.push(Dispatch {
+                cache,
+                source,
+                sent,
+                open: true,
+                called_off: false,
+                void: false,
+            });
+        }
+        if now + check < view_end {
+            self.alarm(now + check, no);
+        }
+    }
+
+    fn is_warm(&self, no: CacheNo) -> bool {
+        self.member(no).is_some_and(|m| self.warmth(m) >= 1.0)
+    }
+
+    /// How long one dispatch may take: well beyond what its offering's answers took lately.
+    fn patience(&self, held: &Held, left: Span) -> Span {
+        let Some(offering) = self.offerings.get(held.asked.offering as usize) else { return left };
+        let slowest = |samples: &Samples<Span>| samples.quantile(0.95, |took| *took);
+        let usual = slowest(&offering.hits).max(slowest(&offering.fills)).unwrap_or(left);
+        (usual * 2.0).max(offering.goal).min(left)
+    }
+
+    /// How long a cache with views in hand may say nothing before it counts as hung.
+    fn hush(&self, cache: CacheNo) -> Span {
+        let longest = self.member(cache).and_then(|m| m.gaps.0.iter().max().copied());
+        (longest.unwrap_or(Span::ZERO) * 2.0).max(Span::millis(400)).min(Span::millis(1500))
+    }
+
+    /// An alarm of a view rang: its time is up, a retry is due, or its cache may be hung.
+    fn due(&mut self, no: ViewNo) {
+        let Some(held) = self.held(no) else { return };
+        if held.streaming {
+            return;
+        }
+        if self.now >= held.end {
+            return self.give_up(no);
+        }
+        if held.retry_at.is_some_and(|at| at <= self.now) {
+            return self.route(no);
+        }
+        let Some(nth) = held.dispatches.iter().position(|d| d.open && !d.called_off) else { return };
+        let cache = held.dispatches[nth].cache;
+        let hush = self.hush(cache);
+        let Some(member) = self.member(cache) else { return };
+        let silent = self.now.since(member.heard.max(member.waiting_since));
+        let over = self.now.since(held.dispatches[nth].sent) >= hush;
+        // A cache that takes views and answers none: it is left before its views' time-outs. Guards
+        // against hangs, long pauses and lost answers; harms where a few huge objects are all it holds.
+        let alternative = self.order(0, |m| self.is_local_cache(m)).len() > 1;
+        if over && silent >= hush && member.out >= 3 && alternative && self.fact("calling_off", 0.0) > 0.0 {
+            let idempotent = self.offerings.get(held.asked.offering as usize);
+            if idempotent.is_some_and(|o| o.effect == Effect::Repeatable) {
+                self.leave_out(cache);
+                if let Some(held) = self.held_mut(no) {
+                    held.dispatches[nth].called_off = true;
+                }
+                return self.host.call_off(no, nth as u16);
+            }
+        }
+        let again = self.now + hush * 0.5;
+        if again < self.held(no).map_or(again, |held| held.end) {
+            self.alarm(again, no);
+        }
+    }
+
+    /// Leaves a member out for a while that grows with each time, unless the rest would drown.
+    fn leave_out(&mut self, no: CacheNo) {
+        let now = self.now;
+        let Some(member) = self.member(no) else { return };
+        let beside = |m: &&Member| {
+            m.listed.standing == Standing::Ready
+                && match self.is_parent(member) {
+                    true => self.is_parent(m),
+                    false => self.is_local_cache(m),
+                }
+        };
+        let (mut all, mut out) = (0.0, 0.0);
+        for other in self.members.iter().flatten().filter(beside) {
+            all += f64::from(other.listed.size);
+            if other.out_until.is_some() || other.listed.cache == no {
+                out += f64::from(other.listed.size);
+            }
+        }
+        if out > all * 0.6 || member.out_until.is_some_and(|until| until > now) {
+            return;
+        }
+        let Some(member) = self.member_mut(no) else { return };
+        let pause = Span::millis(1000) * 1.5f64.powi(member.outages.min(5));
+        member.outages += 1;
+        member.out_until = Some(now + pause);
+        member.signs.0.clear();
+    }
+
+    /// Takes in one sign of a member's health and judges it against its peers.
+    fn sign(&mut self, no: CacheNo, sign: Sign) {
+        let Some(member) = self.member_mut(no) else { return };
+        member.signs.add(sign);
+        let on_trial = member.out_until.is_some();
+        let good = member.signs.0.iter().filter(|sign| sign.good).count();
+        let bad = member.signs.0.len() - good;
+        let Some(member) = self.member(no) else { return };
+        if self.is_origin(member) {
+            return;
+        }
+        let peers = |m: &&Member| {
+            m.listed.cache != no
+                && m.listed.standing == Standing::Ready
+                && m.out_until.is_none()
+                && match self.is_parent(member) {
+                    true => self.is_parent(m),
+                    false => self.is_local_cache(m),
+                }
+        };
+        let (mut peer_bad, mut peer_all, mut paces) = (0.0, 0.0, Vec::new());
+        for peer in self.members.iter().flatten().filter(peers) {
+            peer_all += peer.signs.0.len() as f64;
+            peer_bad += peer.signs.0.iter().filter(|sign| !sign.good).count() as f64;
+            if peer.signs.0.len() >= 6 {
+                paces.extend(peer.signs.quantile(0.5, |sign| sign.slowness));
+            }
+        }
+        let share = bad as f64 / member.signs.0.len() as f64;
+        let failing = bad >= 3 && share > 0.3 + 1.5 * peer_bad / f64::max(peer_all, 1.0);
+        let usual = paces.iter().copied().fold(f64::INFINITY, f64::min).max(0.5);
+        let own = member.signs.quantile(0.5, |sign| sign.slowness).unwrap_or(0.0);
+        let crawling = member.signs.0.len() >= 8 && own > 2.5 * usual;
+        if failing || crawling || (on_trial && !sign.good) {
+            self.leave_out(no);
+        } else if on_trial && good >= 3 {
+            let Some(member) = self.member_mut(no) else { return };
+            member.out_until = None;
+            member.outages -= 1;
+        }
+    }
+
+    /// A dispatch ended; `last` says that the view is finished.
+    pub fn answered(&mut self, no: ViewNo, nth: u16, end: (Verdict, Note), took: (Span, Span), last: bool) {
+        let now = self.now;
+        let (verdict, note) = end;
+        let Some(held) = self.held_mut(no) else { return };
+        let serial = held.serial;
+        let asked = held.asked;
+        let Some(dispatch) = held.dispatches.get_mut(nth as usize).filter(|d| d.open) else { return };
+        dispatch.open = false;
+        dispatch.void =
+            matches!(verdict, Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss);
+        let (cache, source, called_off) = (dispatch.cache, dispatch.source, dispatch.called_off);
+        if let Some(member) = self.member_mut(cache) {
+            member.out = member.out.saturating_sub(1);
+            if verdict != Verdict::CalledOff && verdict != Verdict::TimedOut {
+                let gap = now.since(member.heard.max(member.waiting_since));
+                member.gaps.add(gap);
+                member.heard = now;
+            }
+        }
+        // A hit drew nothing from its source's budget.
+        let hit = matches!(note, Note::Hit | Note::Joined | Note::OldCopy);
+        if let Some(member) = source.filter(|s| hit && *s != cache).and_then(|s| self.member_mut(s)) {
+            member.drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
+        }
+        self.learn(cache, source, &asked, end, took, called_off);
+        if last {
+            return self.finish(no);
+        }
+        if self.held(no).is_none_or(|held| held.finished) {
+            return self.finish(no);
+        }
+        self.retry(no, verdict, note, source);
+    }
+
+    /// Draws from the end of a dispatch what it says of cache, source and offering.
+    fn learn(
+        &mut self,
+        cache: CacheNo,
+        source: Option<CacheNo>,
+        asked: &Asked,
+        end: (Verdict, Note),
+        took: (Span, Span),
+        called_off: bool,
+    ) {
+        let (verdict, note) = end;
+        let now = self.now;
+        let work = self.work(asked);
+        let Some(offering) = self.offerings.get_mut(asked.offering as usize) else { return };
+        let filled = matches!(note, Note::Filled | Note::FilledByOrigin);
+        match verdict {
+            Verdict::Done => {
+                let usual = if filled { &offering.fills } else { &offering.hits };
+                let usual = usual.quantile(0.5, |took| *took).unwrap_or(took.0);
+                let slowness = took.0.as_secs() / usual.as_secs().max(0.001);
+                if filled { &mut offering.fills } else { &mut offering.hits }.add(took.0);
+                if let Some(source) = source.filter(|s| filled && *s != cache) {
+                    self.fills.add((now, work));
+                    self.sign(source, Sign { good: true, slowness });
+                }
+                let hit = matches!(note, Note::Hit | Note::OldCopy | Note::Untold);
+                self.sign(cache, Sign { good: true, slowness: if hit { slowness } else { 1.0 } });
+            }
+            Verdict::Error | Verdict::TimedOut | Verdict::Broken | Verdict::Unreachable if !called_off => {
+                let bad = Sign { good: false, slowness: 1.0 };
+                let by_source = matches!(note, Note::SourceRefused | Note::SourceLost);
+                if !by_source && note != Note::OriginFailed {
+                    self.sign(cache, bad);
+                }
+                let unsure = note == Note::Untold && verdict != Verdict::Unreachable;
+                if let Some(source) = source.filter(|s| *s != cache && (by_source || unsure)) {
+                    self.sign(source, bad);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A dispatch failed: plans the next one, or gives the view up.
+    fn retry(&mut self, no: ViewNo, verdict: Verdict, note: Note, source: Option<CacheNo>) {
+        let now = self.now;
+        let retries = self.sends.0.iter().filter(|retry| **retry).count();
+        let shaken = self.chance.random_range(0.0..1.0);
+        let Some(held) = self.held_mut(no) else { return };
+        if held.dispatches.iter().any(|d| d.open) {
+            return;
+        }
+        let sourced = matches!(note, Note::SourceRefused | Note::SourceLost | Note::SourceLacks);
+        if let Some(source) = source.filter(|_| sourced || note == Note::OriginFailed) {
+            held.bad_sources.push(source);
+        }
+        let nth = held.dispatches.len() as f64;
+        // The waiters of a failed join come back spread out; what was only diverted goes at once.
+        let pause = match verdict {
+            Verdict::Full | Verdict::Unreachable | Verdict::CalledOff => Span::ZERO,
+            _ => Span::millis(20) * (nth * shaken),
+        };
+        // When most sends are retries already, more of them only feed the trouble.
+        if retries > 40 || now + pause + Span::millis(10) >= held.end {
+            return self.give_up(no);
+        }
+        if pause == Span::ZERO {
+            return self.route(no);
+        }
+        held.retry_at = Some(now + pause);
+        self.alarm(now + pause, no);
+    }
+
+    /// Answers a view that will not be done, at once; rule 2 decides how.
+    fn give_up(&mut self, no: ViewNo) {
+        let come_back = self.chance.random_range(0.05..0.3);
+        let come_back = Span::secs(come_back).min(self.span("longest_come_back", Span::ZERO));
+        let advised = self.fact("come_back_told", 0.0) > 0.0;
+        let calling_off = self.fact("calling_off", 0.0) > 0.0;
+        let Some(held) = self.held_mut(no) else { return };
+        if held.finished || held.streaming {
+            return;
+        }
+        let offering = held.asked.offering;
+        let clean = held.ran().is_none();
+        let mut open = Vec::new();
+        for (nth, dispatch) in held.dispatches.iter_mut().enumerate().filter(|(_, d)| d.open) {
+            if !dispatch.called_off {
+                dispatch.called_off = true;
+                open.push(nth as u16);
+            }
+        }
+        let group = self.word(&format!("offering.{offering}.group")) == "all";
+        let honest = match self.offerings.get(offering as usize).map(|o| o.effect) {
+            Some(Effect::Repeatable) => true,
+            Some(Effect::Tagged) => clean || group,
+            _ => clean,
+        };
+        if honest {
+            self.host.turn_back(no, Some(come_back).filter(|_| advised));
+        } else {
+            self.host.write_off(no);
+        }
+        for nth in open.into_iter().filter(|_| calling_off) {
+            self.host.call_off(no, nth);
+        }
+        self.finish(no);
+    }
+
+    fn finish(&mut self, no: ViewNo) {
+        if let Some(held) = self.held_mut(no) {
+            held.finished = true;
+            if held.dispatches.iter().all(|d| !d.open) {
+                self.views[no.0 as usize] = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,130 @@
+//! What the decisions act through, and the plain types that pass between them and their caller.
+
+use std::collections::BTreeMap;
+
+use crate::time::{Moment, Span};
+
+/// A view's place in the caller's table. It may be used again once the view has its final answer
+/// and every dispatch made for it has been reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ViewNo(pub u32);
+
+/// A cache's place in the caller's table; parents and the origin have one too. Never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CacheNo(pub u32);
+
+/// What is known of a deployment at start: names to values, spans in microseconds.
+pub type Facts = BTreeMap<String, Fact>;
+
+/// One known value; a flag is the number 0 or 1.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fact {
+    Number(f64),
+    Word(String),
+}
+
+/// What a view asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub object: u64,
+    pub part: u32,
+    pub group: u32,
+    pub offering: u16,
+    /// The size, where it is told.
+    pub kb: Option<f32>,
+}
+
+/// One line of the list of caches.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub cache: CacheNo,
+    /// The same at every router, so this is what gets hashed.
+    pub stable: u64,
+    pub standing: Standing,
+    /// The latest start; none if long past.
+    pub started: Option<Moment>,
+    pub location: u8,
+    pub size: f32,
+    pub kind: u8,
+    pub cell: u16,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListForm {
+    /// All there is: what is not in it is gone.
+    Whole,
+    /// Only what changed.
+    Changes,
+    /// Nothing came; the list held stays.
+    Failed,
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Done,
+    Error,
+    Full,
+    TimedOut,
+    Unreachable,
+    Broken,
+    CalledOff,
+    Moot,
+    Miss,
+}
+
+/// What the cache tells of the way to that end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    Untold,
+    Hit,
+    Filled,
+    FilledByOrigin,
+    Joined,
+    OldCopy,
+    SourceRefused,
+    SourceLost,
+    SourceLacks,
+    NoFillPlace,
+    OriginFailed,
+}
+
+/// How a cache is to treat an object that it may lack.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Who supplies a miss.
+    pub source: CacheNo,
+    /// The oldest copy that will do; none for the offering's own fresh time.
+    pub oldest: Option<Span>,
+    /// Wait for a fill that runs already.
+    pub join: bool,
+    /// Fetch an ageing copy anew while serving it.
+    pub renew: bool,
+    /// The rank at which the copy is kept; 0 keeps none.
+    pub rank: u8,
+}
+
+/// The hands of the decisions. Every call takes effect at once, in the order made.
+pub trait Host {
+    /// Dispatch a view to a cache that answers from its own fresh copy only.
+    fn look(&mut self, view: ViewNo, cache: CacheNo, wait: Span);
+    /// Dispatch a view to a cache that may fill what it lacks.
+    fn read(&mut self, view: ViewNo, cache: CacheNo, wait: Span, terms: Terms);
+    /// Stop waiting for the view's dispatch `nth`, counted from 0; its end is still reported.
+    fn call_off(&mut self, view: ViewNo, nth: u16);
+    /// Final answer: trying again is harmless, best after `come_back`.
+    fn turn_back(&mut self, view: ViewNo, come_back: Option<Span>);
+    /// Final answer that promises nothing.
+    fn write_off(&mut self, view: ViewNo);
+    /// Call `Control::wake` after this long.
+    fn wake_in(&mut self, wait: Span);
+    /// Ask to be sent the list and its changes.
+    fn subscribe(&mut self);
+}
