Judge caches by failures only, wait longer, divert once when full

Cause: took times vary with object size, so caches were left out for serving large objects; time-outs drawn from few samples cut off sound transfers; views called at every cache of a full location.

--- a/src/control.rs
+++ b/src/control.rs
@@ -88,18 +88,11 @@
     }
 }
 
-/// One end of a dispatch, as a sign of the health of whoever had a hand in it.
-#[derive(Clone, Copy)]
-struct Sign {
-    good: bool,
-    /// Time taken over what is usual.
-    slowness: f64,
-}
-
 /// A cache, a parent or the origin, as this router knows it.
 struct Member {
     listed: Listed,
-    signs: Samples<Sign>,
+    /// How its last dispatches ended: whether well.
+    signs: Samples<bool>,
     out: u32,
     waiting_since: Moment,
     heard: Moment,
@@ -130,6 +123,7 @@
     dispatches: Vec<Dispatch>,
     retry_at: Option<Moment>,
     bad_sources: Vec<CacheNo>,
+    fulls: u32,
     finished: bool,
     streaming: bool,
 }
@@ -378,6 +372,7 @@
             dispatches: Vec::new(),
             retry_at: None,
             bad_sources: Vec::new(),
+            fulls: 0,
             finished: false,
             streaming: false,
         };
@@ -670,7 +665,8 @@
         let Some(offering) = self.offerings.get(held.asked.offering as usize) else { return left };
         let slowest = |samples: &Samples<Span>| samples.quantile(0.95, |took| *took);
         let usual = slowest(&offering.hits).max(slowest(&offering.fills)).unwrap_or(left);
-        (usual * 2.0).max(offering.goal).min(left)
+        let cut_off = self.span(&format!("offering.{}.cut_off", held.asked.offering), left);
+        (usual * 3.0).max(cut_off * 0.5).min(left)
     }
 
     /// How long a cache with views in hand may say nothing before it counts as hung.
@@ -745,12 +741,12 @@
     }
 
     /// Takes in one sign of a member's health and judges it against its peers.
-    fn sign(&mut self, no: CacheNo, sign: Sign) {
+    fn sign(&mut self, no: CacheNo, good: bool) {
         let Some(member) = self.member_mut(no) else { return };
-        member.signs.add(sign);
+        member.signs.add(good);
         let on_trial = member.out_until.is_some();
-        let good = member.signs.0.iter().filter(|sign| sign.good).count();
-        let bad = member.signs.0.len() - good;
+        let well = member.signs.0.iter().filter(|good| **good).count();
+        let bad = member.signs.0.len() - well;
         let Some(member) = self.member(no) else { return };
         if self.is_origin(member) {
             return;
@@ -764,22 +760,16 @@
                     false => self.is_local_cache(m),
                 }
         };
-        let (mut peer_bad, mut peer_all, mut paces) = (0.0, 0.0, Vec::new());
+        let (mut peer_bad, mut peer_all) = (0.0, 0.0);
         for peer in self.members.iter().flatten().filter(peers) {
             peer_all += peer.signs.0.len() as f64;
-            peer_bad += peer.signs.0.iter().filter(|sign| !sign.good).count() as f64;
-            if peer.signs.0.len() >= 6 {
-                paces.extend(peer.signs.quantile(0.5, |sign| sign.slowness));
-            }
+            peer_bad += peer.signs.0.iter().filter(|good| !**good).count() as f64;
         }
         let share = bad as f64 / member.signs.0.len() as f64;
         let failing = bad >= 3 && share > 0.3 + 1.5 * peer_bad / f64::max(peer_all, 1.0);
-        let usual = paces.iter().copied().fold(f64::INFINITY, f64::min).max(0.5);
-        let own = member.signs.quantile(0.5, |sign| sign.slowness).unwrap_or(0.0);
-        let crawling = member.signs.0.len() >= 8 && own > 2.5 * usual;
-        if failing || crawling || (on_trial && !sign.good) {
+        if failing || (on_trial && !good) {
             self.leave_out(no);
-        } else if on_trial && good >= 3 {
+        } else if on_trial && well >= 3 {
             let Some(member) = self.member_mut(no) else { return };
             member.out_until = None;
             member.outages -= 1;
@@ -838,26 +828,21 @@
         let filled = matches!(note, Note::Filled | Note::FilledByOrigin);
         match verdict {
             Verdict::Done => {
-                let usual = if filled { &offering.fills } else { &offering.hits };
-                let usual = usual.quantile(0.5, |took| *took).unwrap_or(took.0);
-                let slowness = took.0.as_secs() / usual.as_secs().max(0.001);
                 if filled { &mut offering.fills } else { &mut offering.hits }.add(took.0);
                 if let Some(source) = source.filter(|s| filled && *s != cache) {
                     self.fills.add((now, work));
-                    self.sign(source, Sign { good: true, slowness });
+                    self.sign(source, true);
                 }
-                let hit = matches!(note, Note::Hit | Note::OldCopy | Note::Untold);
-                self.sign(cache, Sign { good: true, slowness: if hit { slowness } else { 1.0 } });
+                self.sign(cache, true);
             }
             Verdict::Error | Verdict::TimedOut | Verdict::Broken | Verdict::Unreachable if !called_off => {
-                let bad = Sign { good: false, slowness: 1.0 };
                 let by_source = matches!(note, Note::SourceRefused | Note::SourceLost);
                 if !by_source && note != Note::OriginFailed {
-                    self.sign(cache, bad);
+                    self.sign(cache, false);
                 }
                 let unsure = note == Note::Untold && verdict != Verdict::Unreachable;
                 if let Some(source) = source.filter(|s| *s != cache && (by_source || unsure)) {
-                    self.sign(source, bad);
+                    self.sign(source, false);
                 }
             }
             _ => {}
@@ -877,6 +862,8 @@
         if let Some(source) = source.filter(|_| sourced || note == Note::OriginFailed) {
             held.bad_sources.push(source);
         }
+        held.fulls += u32::from(verdict == Verdict::Full);
+        let fulls = held.fulls;
         let nth = held.dispatches.len() as f64;
         // The waiters of a failed join come back spread out; what was only diverted goes at once.
         let pause = match verdict {
@@ -884,7 +871,8 @@
             _ => Span::millis(20) * (nth * shaken),
         };
         // When most sends are retries already, more of them only feed the trouble.
-        if retries > 40 || now + pause + Span::millis(10) >= held.end {
+        // Two full caches mean that the location is: each further call there is work that serves nobody.
+        if fulls > 1 || retries > 40 || now + pause + Span::millis(10) >= held.end {
             return self.give_up(no);
         }
         if pause == Span::ZERO {
