--- a/src/control.rs
+++ b/src/control.rs
@@ -53,6 +53,8 @@
     fresh: Span,
     older_by: Span,
     hits: Samples<Span>,
+    /// Hits of caches that had little else in hand: what sending takes by itself.
+    easy: Samples<Span>,
     fills: Samples<Span>,
 }
 
@@ -93,6 +95,8 @@
     listed: Listed,
     /// How its last dispatches ended: whether well.
     signs: Samples<bool>,
+    /// Of its last hits: how many views it had in hand at the dispatch, and whether it was in time.
+    loads: Samples<(u32, bool)>,
     out: u32,
     waiting_since: Moment,
     heard: Moment,
@@ -109,6 +113,8 @@
     cache: CacheNo,
     source: Option<CacheNo>,
     sent: Moment,
+    /// What the cache had in hand from here.
+    load: u32,
     open: bool,
     called_off: bool,
     /// Known not to have run.
@@ -207,6 +213,7 @@
                 fresh: Span::micros(fact("fresh") as u64),
                 older_by: Span::micros(fact("older_by") as u64),
                 hits: Samples::last(64),
+                easy: Samples::last(64),
                 fills: Samples::last(64),
             };
             control.offerings.push(offering);
@@ -328,6 +335,7 @@
                     *empty = Some(Member {
                         listed: *line,
                         signs: Samples::last(16),
+                        loads: Samples::last(40),
                         out: empty.as_ref().map_or(0, |member| member.out),
                         waiting_since: self.now,
                         heard: self.now,
@@ -408,14 +416,38 @@
         self.mean_work(asked.offering)
     }
 
-    /// The mean sending time of an offering, as its hits show it; its latency goal before there are any.
+    /// The mean sending time of an offering, as its easy hits show it; before there are any, its goal.
     fn mean_work(&self, offering: u16) -> f64 {
         let Some(offering) = self.offerings.get(offering as usize) else { return 1.0 };
-        let hits = &offering.hits.0;
-        if hits.len() < 4 {
+        let easy = &offering.easy.0;
+        if easy.len() < 4 {
             return offering.goal.as_secs();
         }
-        hits.iter().map(|took| took.as_secs()).sum::<f64>() / hits.len() as f64
+        easy.iter().map(|took| took.as_secs()).sum::<f64>() / easy.len() as f64
+    }
+
+    /// Whether an answer that took so long still was in time.
+    fn in_time(&self, asked: &Asked, took: Span) -> bool {
+        let Some(offering) = self.offerings.get(asked.offering as usize) else { return true };
+        let stretch = self.fact(&format!("offering.{}.goal_stretch", asked.offering), 0.0);
+        took <= offering.goal + Span::secs(self.work(asked) * stretch)
+    }
+
+    /// How many views a cache may have in hand from here before its hits come late, as its last hits
+    /// show: the most at which they were mostly in time, and one more to learn. Answers overload and
+    /// slow caches alike; could harm where lateness has another cause that the cache shares with all.
+    fn limit(&self, member: &Member) -> u32 {
+        let mut loads: Vec<(u32, bool)> = member.loads.0.iter().copied().collect();
+        loads.sort_unstable();
+        let (mut timely, mut limit) = (0, 1);
+        for (i, (load, in_time)) in loads.iter().enumerate() {
+            timely += usize::from(*in_time);
+            if timely * 10 >= (i + 1) * 7 {
+                limit = *load;
+            }
+        }
+        let learnt = loads.len() >= 8 && timely * 10 < loads.len() * 9;
+        if learnt { (limit + 1).max(2) } else { u32::MAX }
     }
 
     fn is_parent(&self, member: &Member) -> bool {
@@ -510,7 +542,24 @@
             out += f64::from(other.out);
             size += f64::from(other.listed.size);
         }
-        f64::from(member.out) > 4.0 + 1.5 * out * f64::from(member.listed.size) / size
+        let fair = 4.0 + 1.5 * out * f64::from(member.listed.size) / size;
+        f64::from(member.out) > fair || member.out >= self.limit(member)
+    }
+
+    /// Whether a view had better be turned back than sent to a cache with that much in hand. What earns
+    /// much for its work is let in a little longer.
+    fn too_late(&self, cache: CacheNo, asked: &Asked) -> bool {
+        let Some(member) = self.member(cache).filter(|m| self.is_local_cache(m)) else { return false };
+        let limit = self.limit(member);
+        if limit == u32::MAX {
+            return false;
+        }
+        let value = |i: usize| {
+            self.fact(&format!("offering.{i}.earnings"), 1.0) / self.mean_work(i as u16).max(0.001)
+        };
+        let best = (0..self.offerings.len()).map(value).fold(0.0, f64::max);
+        let room = if value(asked.offering as usize) >= best * 0.5 { 1.5 } else { 1.0 };
+        f64::from(member.out) >= f64::from(limit) * room
     }
 
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
@@ -545,8 +594,8 @@
             cache = source;
         }
         match cache {
-            Some(cache) => self.send(no, cache, source),
-            None => self.give_up(no),
+            Some(cache) if !self.too_late(cache, &asked) => self.send(no, cache, source),
+            _ => self.give_up(no),
         }
     }
 
@@ -633,7 +682,9 @@
                 member.drawn.push_back((now, work, serial, nth));
             }
         }
+        let mut load = 0;
         if let Some(member) = self.member_mut(cache) {
+            load = member.out;
             if member.out == 0 {
                 member.waiting_since = now;
             }
@@ -646,6 +697,7 @@
                 cache,
                 source,
                 sent,
+                load,
                 open: true,
                 called_off: false,
                 void: false,
@@ -788,6 +840,7 @@
         dispatch.void =
             matches!(verdict, Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss);
         let (cache, source, called_off) = (dispatch.cache, dispatch.source, dispatch.called_off);
+        let load = dispatch.load;
         if let Some(member) = self.member_mut(cache) {
             member.out = member.out.saturating_sub(1);
             if verdict != Verdict::CalledOff && verdict != Verdict::TimedOut {
@@ -801,6 +854,16 @@
         if let Some(member) = source.filter(|s| hit && *s != cache).and_then(|s| self.member_mut(s)) {
             member.drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
         }
+        if matches!(note, Note::Hit | Note::OldCopy) {
+            let in_time = self.in_time(&asked, took.0);
+            if let Some(member) = self.member_mut(cache) {
+                member.loads.add((load, in_time));
+            }
+            let easy = self.offerings.get_mut(asked.offering as usize).filter(|_| load <= 2);
+            if let Some(offering) = easy {
+                offering.easy.add(took.0);
+            }
+        }
         self.learn(cache, source, &asked, end, took, called_off);
         if last {
             return self.finish(no);
