Limit views in hand in proportion to how slow the last hits were

The earlier limit by in-time share jumped between 2 and 30 and let overload through. Mean slowness and mean number in hand of the last hits give the number at which an offering would be late; no jump.

--- a/src/control.rs
+++ b/src/control.rs
@@ -90,13 +90,21 @@
     }
 }
 
+/// A hit, as a sign of how full a cache is.
+#[derive(Clone, Copy)]
+struct Load {
+    /// Views that it had in hand from here at the dispatch, with this one.
+    held: u32,
+    work: f64,
+    took: Span,
+}
+
 /// A cache, a parent or the origin, as this router knows it.
 struct Member {
     listed: Listed,
     /// How its last dispatches ended: whether well.
     signs: Samples<bool>,
-    /// Of its last hits: how many views it had in hand at the dispatch, and whether it was in time.
-    loads: Samples<(u32, bool)>,
+    loads: Samples<Load>,
     out: u32,
     waiting_since: Moment,
     heard: Moment,
@@ -113,7 +121,7 @@
     cache: CacheNo,
     source: Option<CacheNo>,
     sent: Moment,
-    /// What the cache had in hand from here.
+    /// What the cache had in hand from here then, this one counted.
     load: u32,
     open: bool,
     called_off: bool,
@@ -426,28 +434,25 @@
         easy.iter().map(|took| took.as_secs()).sum::<f64>() / easy.len() as f64
     }
 
-    /// Whether an answer that took so long still was in time.
-    fn in_time(&self, asked: &Asked, took: Span) -> bool {
-        let Some(offering) = self.offerings.get(asked.offering as usize) else { return true };
-        let stretch = self.fact(&format!("offering.{}.goal_stretch", asked.offering), 0.0);
-        took <= offering.goal + Span::secs(self.work(asked) * stretch)
-    }
-
-    /// How many views a cache may have in hand from here before its hits come late, as its last hits
-    /// show: the most at which they were mostly in time, and one more to learn. Answers overload and
-    /// slow caches alike; could harm where lateness has another cause that the cache shares with all.
-    fn limit(&self, member: &Member) -> u32 {
-        let mut loads: Vec<(u32, bool)> = member.loads.0.iter().copied().collect();
-        loads.sort_unstable();
-        let (mut timely, mut limit) = (0, 1);
-        for (i, (load, in_time)) in loads.iter().enumerate() {
-            timely += usize::from(*in_time);
-            if timely * 10 >= (i + 1) * 7 {
-                limit = *load;
-            }
+    /// How many views of an offering a cache may have in hand from here and still be in time with it,
+    /// as its last hits show. Sending slows down in proportion to what is in hand once a link is full,
+    /// so the number at which it gets too slow follows from the mean slowness and the mean number.
+    /// Answers overload, slow caches and hot objects alike; what is slow for want of fills does not
+    /// count. Could harm where lateness has another cause that grows with what is in hand.
+    fn limit(&self, member: &Member, offering: u16) -> f64 {
+        let Some(offered) = self.offerings.get(offering as usize) else { return f64::INFINITY };
+        let (mut work, mut took, mut held) = (0.0, 0.0, 0.0);
+        for load in &member.loads.0 {
+            work += load.work;
+            took += load.took.as_secs();
+            held += f64::from(load.held) * load.work;
         }
-        let learnt = loads.len() >= 8 && timely * 10 < loads.len() * 9;
-        if learnt { (limit + 1).max(2) } else { u32::MAX }
+        if member.loads.0.len() < 8 || took < work * 1.5 {
+            return f64::INFINITY;
+        }
+        let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
+        let bearable = 0.7 * (stretch + offered.goal.as_secs() / self.mean_work(offering).max(0.001));
+        (held / work * bearable / (took / work)).max(2.0)
     }
 
     fn is_parent(&self, member: &Member) -> bool {
@@ -517,14 +522,14 @@
     }
 
     /// How little a member suits a view: 0 is an ordinary one; among equals the hash order decides.
-    fn penalty(&self, no: CacheNo, hash: u64, tried: bool) -> u32 {
+    fn penalty(&self, no: CacheNo, offering: u16, hash: u64, tried: bool) -> u32 {
         let Some(member) = self.member(no) else { return u32::MAX };
         // Objects come back to a restarted member one by one, at every router the same ones.
         let away = unit(mix(hash, member.listed.stable.rotate_left(32))) >= self.warmth(member);
         u32::from(self.ill(member)) * 8
             + u32::from(tried) * 4
             + u32::from(away) * 2
-            + u32::from(self.crowded(member))
+            + u32::from(self.crowded(member) || self.too_late(no, offering))
     }
 
     /// Left out, and not yet due for a trial view.
@@ -543,23 +548,13 @@
             size += f64::from(other.listed.size);
         }
         let fair = 4.0 + 1.5 * out * f64::from(member.listed.size) / size;
-        f64::from(member.out) > fair || member.out >= self.limit(member)
+        f64::from(member.out) > fair
     }
 
-    /// Whether a view had better be turned back than sent to a cache with that much in hand. What earns
-    /// much for its work is let in a little longer.
-    fn too_late(&self, cache: CacheNo, asked: &Asked) -> bool {
-        let Some(member) = self.member(cache).filter(|m| self.is_local_cache(m)) else { return false };
-        let limit = self.limit(member);
-        if limit == u32::MAX {
-            return false;
-        }
-        let value = |i: usize| {
-            self.fact(&format!("offering.{i}.earnings"), 1.0) / self.mean_work(i as u16).max(0.001)
-        };
-        let best = (0..self.offerings.len()).map(value).fold(0.0, f64::max);
-        let room = if value(asked.offering as usize) >= best * 0.5 { 1.5 } else { 1.0 };
-        f64::from(member.out) >= f64::from(limit) * room
+    /// Whether a view would come late from a cache with that much in hand.
+    fn too_late(&self, cache: CacheNo, offering: u16) -> bool {
+        let cache = self.member(cache).filter(|m| self.is_local_cache(m));
+        cache.is_some_and(|m| f64::from(m.out) >= self.limit(m, offering))
     }
 
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
@@ -581,10 +576,14 @@
         let work = self.mean_work(asked.offering);
         let bearable = |cache: &CacheNo| self.member(*cache).is_some_and(|m| self.bears(m, work));
         let mut source = (self.order(hash, |m| self.is_parent(m)).into_iter().filter(bearable))
-            .min_by_key(|parent| self.penalty(*parent, hash, held.bad_sources.contains(parent)))
+            .min_by_key(|parent| {
+                self.penalty(*parent, asked.offering, hash, held.bad_sources.contains(parent))
+            })
             .or(origin);
         let mut cache = (self.order(hash, |m| self.is_local_cache(m)).into_iter().filter(bearable))
-            .min_by_key(|cache| self.penalty(*cache, hash, tried(cache) && held.bad_sources.is_empty()));
+            .min_by_key(|cache| {
+                self.penalty(*cache, asked.offering, hash, tried(cache) && held.bad_sources.is_empty())
+            });
         if plain {
             source = None;
         } else if through {
@@ -594,7 +593,7 @@
             cache = source;
         }
         match cache {
-            Some(cache) if !self.too_late(cache, &asked) => self.send(no, cache, source),
+            Some(cache) if !self.too_late(cache, asked.offering) => self.send(no, cache, source),
             _ => self.give_up(no),
         }
     }
@@ -684,11 +683,11 @@
         }
         let mut load = 0;
         if let Some(member) = self.member_mut(cache) {
-            load = member.out;
             if member.out == 0 {
                 member.waiting_since = now;
             }
             member.out += 1;
+            load = member.out;
         }
         self.sends.add(retry);
         if let Some(held) = self.held_mut(no) {
@@ -855,11 +854,11 @@
             member.drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
         }
         if matches!(note, Note::Hit | Note::OldCopy) {
-            let in_time = self.in_time(&asked, took.0);
+            let work = self.work(&asked);
             if let Some(member) = self.member_mut(cache) {
-                member.loads.add((load, in_time));
+                member.loads.add(Load { held: load, work, took: took.0 });
             }
-            let easy = self.offerings.get_mut(asked.offering as usize).filter(|_| load <= 2);
+            let easy = self.offerings.get_mut(asked.offering as usize).filter(|_| load <= 3);
             if let Some(offering) = easy {
                 offering.easy.add(took.0);
             }
