--- a/src/control.rs
+++ b/src/control.rs
@@ -90,6 +90,15 @@
     }
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum Tier {
+    /// A cache of the own location.
+    Cache,
+    Parent,
+    Origin,
+    Elsewhere,
+}
+
 /// A hit, as a sign of how full a cache is.
 #[derive(Clone, Copy)]
 struct Load {
@@ -102,6 +111,7 @@
 /// A cache, a parent or the origin, as this router knows it.
 struct Member {
     listed: Listed,
+    tier: Tier,
     /// How its last dispatches ended: whether well.
     signs: Samples<bool>,
     loads: Samples<Load>,
@@ -156,7 +166,7 @@
     now: Moment,
     chance: Pcg64Mcg,
     offerings: Vec<Offering>,
-    members: Vec<Option<Member>>,
+    members: Vec<Member>,
     views: Vec<Option<Held>>,
     serial: u64,
     purges: HashMap<(bool, u64), Moment>,
@@ -306,12 +316,21 @@
         self.views.get_mut(no.0 as usize)?.as_mut()
     }
 
-    fn member(&self, cache: CacheNo) -> Option<&Member> {
-        self.members.get(cache.0 as usize)?.as_ref()
+    fn member(&self, cache: CacheNo) -> &Member {
+        &self.members[cache.0 as usize]
+    }
+
+    fn member_mut(&mut self, cache: CacheNo) -> &mut Member {
+        &mut self.members[cache.0 as usize]
     }
 
-    fn member_mut(&mut self, cache: CacheNo) -> Option<&mut Member> {
-        self.members.get_mut(cache.0 as usize)?.as_mut()
+    /// Members of a tier that were ever listed, and how much they could do together.
+    fn tier(&self, tier: Tier) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(move |m| m.tier == tier)
+    }
+
+    fn size(&self, tier: Tier) -> f64 {
+        self.tier(tier).map(|m| f64::from(m.listed.size)).sum::<f64>().max(1e-3)
     }
 
     /// News of the list of caches.
@@ -322,36 +341,46 @@
             self.plan_wake();
         }
         if form == ListForm::Whole {
-            for member in self.members.iter_mut().flatten() {
+            for member in &mut self.members {
                 if !lines.iter().any(|line| line.cache == member.listed.cache) {
                     member.listed.standing = Standing::Gone;
                 }
             }
         }
         for line in lines {
-            let place = line.cache.0 as usize;
-            if self.members.len() <= place {
-                self.members.resize_with(place + 1, || None);
-            }
-            match &mut self.members[place] {
+            let tier = match f64::from(line.kind) {
+                kind if kind == self.fact("parent_kind", -1.0) => Tier::Parent,
+                kind if kind == self.fact("origin_kind", -1.0) => Tier::Origin,
+                _ if f64::from(line.location) == self.fact("location", 0.0) => Tier::Cache,
+                _ => Tier::Elsewhere,
+            };
+            let known = self.members.get(line.cache.0 as usize);
+            let out = known.map_or(0, |member| member.out);
+            match known.map(|member| member.listed.started) {
                 // Gone; its size and place still tell how the load was shared.
-                Some(member) if line.standing == Standing::Gone => member.listed.standing = Standing::Gone,
-                None if line.standing == Standing::Gone => {}
+                Some(_) if line.standing == Standing::Gone => {
+                    self.member_mut(line.cache).listed.standing = Standing::Gone
+                }
                 // The same life goes on: what was learned of its health stays.
-                Some(member) if member.listed.started == line.started => member.listed = *line,
-                empty => {
-                    *empty = Some(Member {
+                Some(started) if started == line.started => self.member_mut(line.cache).listed = *line,
+                known => {
+                    let member = Member {
                         listed: *line,
+                        tier,
                         signs: Samples::last(16),
                         loads: Samples::last(40),
-                        out: empty.as_ref().map_or(0, |member| member.out),
+                        out,
                         waiting_since: self.now,
                         heard: self.now,
                         gaps: Samples::last(16),
                         out_until: None,
                         outages: 0,
                         drawn: VecDeque::new(),
-                    })
+                    };
+                    match known {
+                        Some(_) => *self.member_mut(line.cache) = member,
+                        None => self.members.push(member),
+                    }
                 }
             }
         }
@@ -379,6 +408,9 @@
 
     /// A view was taken; its client waits for so long.
     pub fn view(&mut self, no: ViewNo, asked: Asked, left: Span) {
+        if usize::from(asked.offering) >= self.offerings.len() {
+            return self.host.write_off(no);
+        }
         self.serial += 1;
         // The answer must be out before the client leaves: a few milliseconds are kept for it.
         let held = Held {
@@ -426,7 +458,7 @@
 
     /// The mean sending time of an offering, as its easy hits show it; before there are any, its goal.
     fn mean_work(&self, offering: u16) -> f64 {
-        let Some(offering) = self.offerings.get(offering as usize) else { return 1.0 };
+        let offering = &self.offerings[offering as usize];
         let easy = &offering.easy.0;
         if easy.len() < 4 {
             return offering.goal.as_secs();
@@ -440,7 +472,6 @@
     /// Answers overload, slow caches and hot objects alike; what is slow for want of fills does not
     /// count. Could harm where lateness has another cause that grows with what is in hand.
     fn limit(&self, member: &Member, offering: u16) -> f64 {
-        let Some(offered) = self.offerings.get(offering as usize) else { return f64::INFINITY };
         let (mut work, mut took, mut held) = (0.0, 0.0, 0.0);
         for load in &member.loads.0 {
             work += load.work;
@@ -451,43 +482,27 @@
             return f64::INFINITY;
         }
         let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
-        let bearable = 0.7 * (stretch + offered.goal.as_secs() / self.mean_work(offering).max(0.001));
+        let goal = self.offerings[offering as usize].goal;
+        let bearable = 0.7 * (stretch + goal.as_secs() / self.mean_work(offering).max(0.001));
         (held / work * bearable / (took / work)).max(2.0)
     }
 
-    fn is_parent(&self, member: &Member) -> bool {
-        f64::from(member.listed.kind) == self.fact("parent_kind", -1.0)
-    }
-
-    fn is_origin(&self, member: &Member) -> bool {
-        f64::from(member.listed.kind) == self.fact("origin_kind", -1.0)
-    }
-
-    fn is_local_cache(&self, member: &Member) -> bool {
-        let local = f64::from(member.listed.location) == self.fact("location", 0.0);
-        local && !self.is_parent(member) && !self.is_origin(member)
-    }
-
     /// Members of one tier in the order of the weighted rendezvous hash, best first.
-    fn order(&self, hash: u64, tier: impl Fn(&Member) -> bool) -> Vec<CacheNo> {
-        let ready = |m: &&Member| m.listed.standing == Standing::Ready && tier(m);
-        let mut scored: Vec<(f64, CacheNo)> = (self.members.iter().flatten().filter(ready))
-            .map(|m| {
-                let draw = unit(mix(m.listed.stable, hash));
-                (-draw.ln() / f64::from(m.listed.size.max(1e-3)), m.listed.cache)
-            })
-            .collect();
+    fn order(&self, hash: u64, tier: Tier) -> Vec<CacheNo> {
+        let ready = self.tier(tier).filter(|m| m.listed.standing == Standing::Ready);
+        let score = |m: &Member| -unit(mix(m.listed.stable, hash)).ln() / f64::from(m.listed.size.max(1e-3));
+        let mut scored: Vec<_> = ready.map(|m| (score(m), m.listed.cache)).collect();
         scored.sort_by(|a, b| a.partial_cmp(b).expect("hashes are numbers"));
         scored.into_iter().map(|scored| scored.1).collect()
     }
 
     /// The part of its capacity that a member surely has by now: 1 once it is warm.
     fn warmth(&self, member: &Member) -> f64 {
-        let (floor, span) = match self.is_parent(member) {
-            true => ("parent_floor", "parent_warm_within"),
-            false => ("cold_floor", "warm_within"),
+        let (floor, span) = match member.tier {
+            Tier::Parent => ("parent_floor", "parent_warm_within"),
+            _ => ("cold_floor", "warm_within"),
         };
-        let Some(started) = member.listed.started.filter(|_| !self.is_origin(member)) else { return 1.0 };
+        let Some(started) = member.listed.started.filter(|_| member.tier != Tier::Origin) else { return 1.0 };
         let floor = self.fact(floor, 1.0);
         let gained = self.now.since(started).as_secs() / self.span(span, Span::ZERO).as_secs().max(0.001);
         (floor + (1.0 - floor) * gained).min(1.0)
@@ -502,17 +517,11 @@
         if warmth >= 1.0 {
             return true;
         }
-        let (multiple, flow) = match self.is_parent(member) {
-            true => (self.fact("parent_multiple", 1.0), pace(&self.fills)),
-            false => (self.fact("cold_multiple", 1.0), pace(&self.arrivals)),
-        };
-        let beside = |m: &&Member| match self.is_parent(member) {
-            true => self.is_parent(m),
-            false => self.is_local_cache(m),
+        let (multiple, flow) = match member.tier {
+            Tier::Parent => (self.fact("parent_multiple", 1.0), pace(&self.fills)),
+            _ => (self.fact("cold_multiple", 1.0), pace(&self.arrivals)),
         };
-        let sizes: f64 =
-            (self.members.iter().flatten().filter(beside)).map(|m| f64::from(m.listed.size)).sum();
-        let capacity = flow * f64::from(member.listed.size) / sizes.max(1e-3) * 0.7;
+        let capacity = flow * f64::from(member.listed.size) / self.size(member.tier) * 0.7;
         let window = self.span("cold_window", Span::secs(1.0));
         let spent: f64 = (member.drawn.iter())
             .filter(|drawn| self.now.since(drawn.0) <= window)
@@ -523,7 +532,7 @@
 
     /// How little a member suits a view: 0 is an ordinary one; among equals the hash order decides.
     fn penalty(&self, no: CacheNo, offering: u16, hash: u64, tried: bool) -> u32 {
-        let Some(member) = self.member(no) else { return u32::MAX };
+        let member = self.member(no);
         // Objects come back to a restarted member one by one, at every router the same ones.
         let away = unit(mix(hash, member.listed.stable.rotate_left(32))) >= self.warmth(member);
         u32::from(self.ill(member)) * 8
@@ -539,22 +548,15 @@
 
     /// A hot object can outgrow its cache: views beyond a fair bound go to the next in its order.
     fn crowded(&self, member: &Member) -> bool {
-        if !self.is_local_cache(member) {
-            return false;
-        }
-        let (mut out, mut size) = (0.0, 0.0);
-        for other in self.members.iter().flatten().filter(|m| self.is_local_cache(m)) {
-            out += f64::from(other.out);
-            size += f64::from(other.listed.size);
-        }
-        let fair = 4.0 + 1.5 * out * f64::from(member.listed.size) / size;
-        f64::from(member.out) > fair
+        let out: u32 = self.tier(member.tier).map(|m| m.out).sum();
+        let share = f64::from(member.listed.size) / self.size(member.tier);
+        member.tier == Tier::Cache && f64::from(member.out) > 4.0 + 1.5 * f64::from(out) * share
     }
 
     /// Whether a view would come late from a cache with that much in hand.
     fn too_late(&self, cache: CacheNo, offering: u16) -> bool {
-        let cache = self.member(cache).filter(|m| self.is_local_cache(m));
-        cache.is_some_and(|m| f64::from(m.out) >= self.limit(m, offering))
+        let member = self.member(cache);
+        member.tier == Tier::Cache && f64::from(member.out) >= self.limit(member, offering)
     }
 
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
@@ -562,11 +564,10 @@
         let Some(held) = self.held_mut(no) else { return };
         held.retry_at = None;
         let asked = held.asked;
-        let Some(offering) = self.offerings.get(asked.offering as usize) else { return self.give_up(no) };
-        let through = offering.runs_at_origin;
+        let through = self.offerings[asked.offering as usize].runs_at_origin;
         let direct = self.fact("direct", 0.0) > 0.0;
         let hash = mix(asked.object, u64::from(asked.part));
-        let origin = self.order(hash, |m| self.is_origin(m)).first().copied();
+        let origin = self.order(hash, Tier::Origin).first().copied();
         let plain = self.fact("fills", 1.0) == 0.0;
         if let Some(origin) = origin.filter(|_| through && direct) {
             return self.send(no, origin, None);
@@ -574,16 +575,15 @@
         let Some(held) = self.held(no) else { return };
         let tried = |cache: &CacheNo| held.dispatches.iter().any(|d| d.cache == *cache && !d.called_off);
         let work = self.mean_work(asked.offering);
-        let bearable = |cache: &CacheNo| self.member(*cache).is_some_and(|m| self.bears(m, work));
-        let mut source = (self.order(hash, |m| self.is_parent(m)).into_iter().filter(bearable))
+        let bearable = |cache: &CacheNo| self.bears(self.member(*cache), work);
+        let mut source = (self.order(hash, Tier::Parent).into_iter().filter(bearable))
             .min_by_key(|parent| {
                 self.penalty(*parent, asked.offering, hash, held.bad_sources.contains(parent))
             })
             .or(origin);
-        let mut cache = (self.order(hash, |m| self.is_local_cache(m)).into_iter().filter(bearable))
-            .min_by_key(|cache| {
-                self.penalty(*cache, asked.offering, hash, tried(cache) && held.bad_sources.is_empty())
-            });
+        let mut cache = (self.order(hash, Tier::Cache).into_iter().filter(bearable)).min_by_key(|cache| {
+            self.penalty(*cache, asked.offering, hash, tried(cache) && held.bad_sources.is_empty())
+        });
         if plain {
             source = None;
         } else if through {
@@ -603,7 +603,7 @@
         let second_copies = self.fact("second_copies", 0.0) > 0.0;
         let most = self.fact("most_dispatches", 1.0) as usize;
         let Some(held) = self.held(no) else { return };
-        let Some(offering) = self.offerings.get(held.asked.offering as usize) else { return };
+        let offering = &self.offerings[held.asked.offering as usize];
         // Rule 1: nothing after the final answer, and time must be left for one.
         let left = held.end.since(self.now);
         if held.finished || held.streaming {
@@ -611,7 +611,7 @@
         }
         // Rule 2: what may have run goes again only where a repeat does no harm.
         let group = self.word(&format!("offering.{}.group", held.asked.offering));
-        let place = |cache: CacheNo| self.member(cache).map(|m| (m.listed.location, m.listed.cell));
+        let place = |cache: CacheNo| (self.member(cache).listed.location, self.member(cache).listed.cell);
         let window = self.span(&format!("offering.{}.window", held.asked.offering), Span::ZERO);
         let harmless = match (offering.effect, held.ran()) {
             (Effect::Repeatable, _) | (_, None) => true,
@@ -619,8 +619,8 @@
             (Effect::Tagged, Some((since, first))) => {
                 let same = match (group, place(first), place(cache)) {
                     ("all", _, _) => true,
-                    ("location", Some(a), Some(b)) => a.0 == b.0,
-                    ("cell", Some(a), Some(b)) => a == b,
+                    ("location", a, b) => a.0 == b.0,
+                    ("cell", a, b) => a == b,
                     _ => false,
                 };
                 same && self.now.since(since) + Span::millis(20) < window
@@ -629,11 +629,11 @@
         let open = held.dispatches.iter().filter(|d| d.open).count();
         let alone = open == 0 || (second_copies && open == 1 && offering.effect == Effect::Repeatable);
         // Rule 3: a cache that drains or is gone gets nothing, be it as cache or as source.
-        let ready = |no: CacheNo| self.member(no).is_some_and(|m| m.listed.standing == Standing::Ready);
+        let ready = |no: CacheNo| self.member(no).listed.standing == Standing::Ready;
         let both_ready = ready(cache) && source.is_none_or(ready);
         // Rule 4: a cold cache or source is not pushed over.
         let work = self.mean_work(held.asked.offering);
-        let bears = |no: CacheNo| self.member(no).is_some_and(|m| self.bears(m, work));
+        let bears = |no: CacheNo| self.bears(self.member(no), work);
         let borne = bears(cache) && source.is_none_or(bears);
         if left < Span::millis(10)
             || !harmless
@@ -657,7 +657,8 @@
         };
         let oldest = limit.into_iter().chain(since_purge).min();
         let keep = !offering.runs_at_origin;
-        let renew = keep && offering.fresh > Span::ZERO && source.is_some_and(|s| self.is_warm(s));
+        let renew =
+            keep && offering.fresh > Span::ZERO && source.is_some_and(|s| self.warmth(self.member(s)) >= 1.0);
         let wait = self.patience(held, left);
         let check = self.hush(cache);
         let serial = held.serial;
@@ -672,32 +673,28 @@
         let now = self.now;
         let window = self.span("cold_window", Span::secs(1.0));
         for place in [Some(cache), source.filter(|s| *s != cache)].into_iter().flatten() {
-            let cold = self.member(place).is_some_and(|m| self.warmth(m) < 1.0);
-            let Some(member) = self.member_mut(place) else {
-                continue;
-            };
+            let cold = self.warmth(self.member(place)) < 1.0;
+            let member = self.member_mut(place);
             member.drawn.retain(|drawn| now.since(drawn.0) <= window);
             if cold {
                 member.drawn.push_back((now, work, serial, nth));
             }
         }
-        let mut load = 0;
-        if let Some(member) = self.member_mut(cache) {
-            if member.out == 0 {
-                member.waiting_since = now;
-            }
-            member.out += 1;
-            load = member.out;
+        let member = self.member_mut(cache);
+        if member.out == 0 {
+            member.waiting_since = now;
         }
+        member.out += 1;
+        let load = member.out;
         self.sends.add(retry);
         if let Some(held) = self.held_mut(no) {
-            let sent = now;
+            let (sent, open) = (now, true);
             held.dispatches.push(Dispatch {
                 cache,
                 source,
                 sent,
                 load,
-                open: true,
+                open,
                 called_off: false,
                 void: false,
             });
@@ -707,13 +704,9 @@
         }
     }
 
-    fn is_warm(&self, no: CacheNo) -> bool {
-        self.member(no).is_some_and(|m| self.warmth(m) >= 1.0)
-    }
-
     /// How long one dispatch may take: well beyond what its offering's answers took lately.
     fn patience(&self, held: &Held, left: Span) -> Span {
-        let Some(offering) = self.offerings.get(held.asked.offering as usize) else { return left };
+        let offering = &self.offerings[held.asked.offering as usize];
         let slowest = |samples: &Samples<Span>| samples.quantile(0.95, |took| *took);
         let usual = slowest(&offering.hits).max(slowest(&offering.fills)).unwrap_or(left);
         let cut_off = self.span(&format!("offering.{}.cut_off", held.asked.offering), left);
@@ -722,8 +715,8 @@
 
     /// How long a cache with views in hand may say nothing before it counts as hung.
     fn hush(&self, cache: CacheNo) -> Span {
-        let longest = self.member(cache).and_then(|m| m.gaps.0.iter().max().copied());
-        (longest.unwrap_or(Span::ZERO) * 2.0).max(Span::millis(400)).min(Span::millis(1500))
+        let longest = self.member(cache).gaps.0.iter().max();
+        (longest.copied().unwrap_or_default() * 2.0).max(Span::millis(400)).min(Span::millis(1500))
     }
 
     /// An alarm of a view rang: its time is up, a retry is due, or its cache may be hung.
@@ -741,21 +734,20 @@
         let Some(nth) = held.dispatches.iter().position(|d| d.open && !d.called_off) else { return };
         let cache = held.dispatches[nth].cache;
         let hush = self.hush(cache);
-        let Some(member) = self.member(cache) else { return };
+        let member = self.member(cache);
         let silent = self.now.since(member.heard.max(member.waiting_since));
         let over = self.now.since(held.dispatches[nth].sent) >= hush;
         // A cache that takes views and answers none: it is left before its views' time-outs. Guards
         // against hangs, long pauses and lost answers; harms where a few huge objects are all it holds.
-        let alternative = self.order(0, |m| self.is_local_cache(m)).len() > 1;
-        if over && silent >= hush && member.out >= 3 && alternative && self.fact("calling_off", 0.0) > 0.0 {
-            let idempotent = self.offerings.get(held.asked.offering as usize);
-            if idempotent.is_some_and(|o| o.effect == Effect::Repeatable) {
-                self.leave_out(cache);
-                if let Some(held) = self.held_mut(no) {
-                    held.dispatches[nth].called_off = true;
-                }
-                return self.host.call_off(no, nth as u16);
+        let alternative = self.order(0, Tier::Cache).len() > 1;
+        let repeatable = self.offerings[held.asked.offering as usize].effect == Effect::Repeatable;
+        let hung = over && silent >= hush && member.out >= 3 && alternative && repeatable;
+        if hung && self.fact("calling_off", 0.0) > 0.0 {
+            self.leave_out(cache);
+            if let Some(held) = self.held_mut(no) {
+                held.dispatches[nth].called_off = true;
             }
+            return self.host.call_off(no, nth as u16);
         }
         let again = self.now + hush * 0.5;
         if again < self.held(no).map_or(again, |held| held.end) {
@@ -766,16 +758,10 @@
     /// Leaves a member out for a while that grows with each time, unless the rest would drown.
     fn leave_out(&mut self, no: CacheNo) {
         let now = self.now;
-        let Some(member) = self.member(no) else { return };
-        let beside = |m: &&Member| {
-            m.listed.standing == Standing::Ready
-                && match self.is_parent(member) {
-                    true => self.is_parent(m),
-                    false => self.is_local_cache(m),
-                }
-        };
+        let member = self.member(no);
+        let others = self.tier(member.tier).filter(|m| m.listed.standing == Standing::Ready);
         let (mut all, mut out) = (0.0, 0.0);
-        for other in self.members.iter().flatten().filter(beside) {
+        for other in others {
             all += f64::from(other.listed.size);
             if other.out_until.is_some() || other.listed.cache == no {
                 out += f64::from(other.listed.size);
@@ -784,7 +770,7 @@
         if out > all * 0.6 || member.out_until.is_some_and(|until| until > now) {
             return;
         }
-        let Some(member) = self.member_mut(no) else { return };
+        let member = self.member_mut(no);
         let pause = Span::millis(1000) * 1.5f64.powi(member.outages.min(5));
         member.outages += 1;
         member.out_until = Some(now + pause);
@@ -793,26 +779,19 @@
 
     /// Takes in one sign of a member's health and judges it against its peers.
     fn sign(&mut self, no: CacheNo, good: bool) {
-        let Some(member) = self.member_mut(no) else { return };
+        let member = self.member_mut(no);
         member.signs.add(good);
         let on_trial = member.out_until.is_some();
         let well = member.signs.0.iter().filter(|good| **good).count();
         let bad = member.signs.0.len() - well;
-        let Some(member) = self.member(no) else { return };
-        if self.is_origin(member) {
+        let member = self.member(no);
+        if member.tier == Tier::Origin {
             return;
         }
-        let peers = |m: &&Member| {
-            m.listed.cache != no
-                && m.listed.standing == Standing::Ready
-                && m.out_until.is_none()
-                && match self.is_parent(member) {
-                    true => self.is_parent(m),
-                    false => self.is_local_cache(m),
-                }
-        };
+        let fit = |m: &&Member| m.listed.standing == Standing::Ready && m.out_until.is_none();
+        let peers = self.tier(member.tier).filter(fit).filter(|m| m.listed.cache != no);
         let (mut peer_bad, mut peer_all) = (0.0, 0.0);
-        for peer in self.members.iter().flatten().filter(peers) {
+        for peer in peers {
             peer_all += peer.signs.0.len() as f64;
             peer_bad += peer.signs.0.iter().filter(|good| !**good).count() as f64;
         }
@@ -821,7 +800,7 @@
         if failing || (on_trial && !good) {
             self.leave_out(no);
         } else if on_trial && well >= 3 {
-            let Some(member) = self.member_mut(no) else { return };
+            let member = self.member_mut(no);
             member.out_until = None;
             member.outages -= 1;
         }
@@ -840,27 +819,22 @@
             matches!(verdict, Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss);
         let (cache, source, called_off) = (dispatch.cache, dispatch.source, dispatch.called_off);
         let load = dispatch.load;
-        if let Some(member) = self.member_mut(cache) {
-            member.out = member.out.saturating_sub(1);
-            if verdict != Verdict::CalledOff && verdict != Verdict::TimedOut {
-                let gap = now.since(member.heard.max(member.waiting_since));
-                member.gaps.add(gap);
-                member.heard = now;
-            }
+        let member = self.member_mut(cache);
+        member.out = member.out.saturating_sub(1);
+        if verdict != Verdict::CalledOff && verdict != Verdict::TimedOut {
+            member.gaps.add(now.since(member.heard.max(member.waiting_since)));
+            member.heard = now;
         }
         // A hit drew nothing from its source's budget.
         let hit = matches!(note, Note::Hit | Note::Joined | Note::OldCopy);
-        if let Some(member) = source.filter(|s| hit && *s != cache).and_then(|s| self.member_mut(s)) {
-            member.drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
+        if let Some(source) = source.filter(|s| hit && *s != cache) {
+            self.member_mut(source).drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
         }
         if matches!(note, Note::Hit | Note::OldCopy) {
             let work = self.work(&asked);
-            if let Some(member) = self.member_mut(cache) {
-                member.loads.add(Load { held: load, work, took: took.0 });
-            }
-            let easy = self.offerings.get_mut(asked.offering as usize).filter(|_| load <= 3);
-            if let Some(offering) = easy {
-                offering.easy.add(took.0);
+            self.member_mut(cache).loads.add(Load { held: load, work, took: took.0 });
+            if load <= 3 {
+                self.offerings[asked.offering as usize].easy.add(took.0);
             }
         }
         self.learn(cache, source, &asked, end, took, called_off);
@@ -886,7 +860,7 @@
         let (verdict, note) = end;
         let now = self.now;
         let work = self.work(asked);
-        let Some(offering) = self.offerings.get_mut(asked.offering as usize) else { return };
+        let offering = &mut self.offerings[asked.offering as usize];
         let filled = matches!(note, Note::Filled | Note::FilledByOrigin);
         match verdict {
             Verdict::Done => {
@@ -964,9 +938,9 @@
             }
         }
         let group = self.word(&format!("offering.{offering}.group")) == "all";
-        let honest = match self.offerings.get(offering as usize).map(|o| o.effect) {
-            Some(Effect::Repeatable) => true,
-            Some(Effect::Tagged) => clean || group,
+        let honest = match self.offerings[offering as usize].effect {
+            Effect::Repeatable => true,
+            Effect::Tagged => clean || group,
             _ => clean,
         };
         if honest {
--- a/src/host.rs
+++ b/src/host.rs
@@ -9,7 +9,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ViewNo(pub u32);
 
-/// A cache's place in the caller's table; parents and the origin have one too. Never used again.
+/// A cache's place in the caller's table, in the order of first listing from 0; parents and the origin
+/// have one too. Never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CacheNo(pub u32);
 
