--- a/src/control.rs
+++ b/src/control.rs
@@ -483,7 +483,7 @@
         }
         let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
         let goal = self.offerings[offering as usize].goal;
-        let bearable = 0.7 * (stretch + goal.as_secs() / self.mean_work(offering).max(0.001));
+        let bearable = 0.5 * (stretch + goal.as_secs() / self.mean_work(offering).max(0.001));
         (held / work * bearable / (took / work)).max(2.0)
     }
 
