While fills come late, look first and fill only within a limit

Now the fills in hand are estimated and kept under the number at which their slowness is bearable; near it a view is sent with no fill, joins and hits as ever, and what surely misses is filled within the limit or turned back. Should also cover full parents, a crowded or slow origin and purge herds; could harm where fills are slow for a reason that does not grow with their number: then misses are turned back that would come late.

--- a/src/control.rs
+++ b/src/control.rs
@@ -52,10 +52,8 @@
     goal: Span,
     fresh: Span,
     older_by: Span,
-    hits: Samples<Span>,
     /// Hits of caches that had little else in hand: what sending takes by itself.
     easy: Samples<Span>,
-    fills: Samples<Span>,
 }
 
 /// The last few of something measured.
@@ -99,11 +97,11 @@
     Elsewhere,
 }
 
-/// A hit, as a sign of how full a cache is.
+/// A hit as a sign of how full a cache is, or a fill as one of how full the way to it is.
 #[derive(Clone, Copy)]
 struct Load {
-    /// Views that it had in hand from here at the dispatch, with this one.
-    held: u32,
+    /// How many more like it were in hand here at the dispatch, with this one.
+    held: f64,
     work: f64,
     took: Span,
 }
@@ -126,17 +124,26 @@
     drawn: VecDeque<(Moment, f64, u64, u16)>,
 }
 
+/// Whether a dispatch fills a miss: as it comes, not at all, or surely, as one not filled was a miss.
+#[derive(Clone, Copy, PartialEq)]
+enum Filling {
+    AsItComes,
+    Not,
+    Surely,
+}
+
 /// One dispatch made for a view.
 struct Dispatch {
     cache: CacheNo,
     source: Option<CacheNo>,
     sent: Moment,
     /// What the cache had in hand from here then, this one counted.
-    load: u32,
-    open: bool,
+    load: f64,
+    filling: Filling,
+    /// Fills in hand here then, by estimate.
+    fills: f64,
     called_off: bool,
-    /// Known not to have run.
-    void: bool,
+    end: Option<(Verdict, Note)>,
 }
 
 /// A view in hand.
@@ -145,17 +152,27 @@
     asked: Asked,
     end: Moment,
     dispatches: Vec<Dispatch>,
-    retry_at: Option<Moment>,
-    bad_sources: Vec<CacheNo>,
-    fulls: u32,
+    /// Has its final answer, or its stream: nothing is sent for it any more.
     finished: bool,
-    streaming: bool,
 }
 
 impl Held {
     /// When, and where, it first may have run; a dispatch that is out may.
     fn ran(&self) -> Option<(Moment, CacheNo)> {
-        self.dispatches.iter().find(|d| !d.void).map(|d| (d.sent, d.cache))
+        use Verdict::{Full, Miss, Moot, Unreachable};
+        let void = |d: &Dispatch| matches!(d.end, Some((Full | Unreachable | Moot | Miss, _)));
+        self.dispatches.iter().find(|d| !void(d)).map(|d| (d.sent, d.cache))
+    }
+
+    fn open(&self) -> impl Iterator<Item = (usize, &Dispatch)> {
+        self.dispatches.iter().enumerate().filter(|(_, d)| d.end.is_none())
+    }
+
+    /// Whether a fill of this view failed at that source.
+    fn failed_at(&self, source: CacheNo) -> bool {
+        use Note::{OriginFailed, SourceLacks, SourceLost, SourceRefused};
+        let blamed = |note| matches!(note, SourceRefused | SourceLost | SourceLacks | OriginFailed);
+        self.dispatches.iter().any(|d| d.source == Some(source) && d.end.is_some_and(|end| blamed(end.1)))
     }
 }
 
@@ -177,6 +194,12 @@
     arrivals: Samples<(Moment, f64)>,
     fills: Samples<(Moment, f64)>,
     sends: Samples<bool>,
+    /// The last fills.
+    fill_loads: Samples<Load>,
+    /// Answers of dispatches that fill as it comes: whether they did, and how long they took.
+    filled: Samples<(bool, Span)>,
+    /// Dispatches out that fill as it comes, and those that surely do.
+    filling: (f64, f64),
 }
 
 /// Mixes stable ids into an even 64 bits.
@@ -213,6 +236,9 @@
             arrivals: Samples::last(256),
             fills: Samples::last(128),
             sends: Samples::last(64),
+            fill_loads: Samples::last(40),
+            filled: Samples::last(64),
+            filling: (0.0, 0.0),
         };
         for name in ["offerings", "location", "drain_grace"] {
             control.need(name)?;
@@ -230,9 +256,7 @@
                 goal: Span::micros(control.need(&format!("offering.{i}.latency_goal"))? as u64),
                 fresh: Span::micros(fact("fresh") as u64),
                 older_by: Span::micros(fact("older_by") as u64),
-                hits: Samples::last(64),
                 easy: Samples::last(64),
-                fills: Samples::last(64),
             };
             control.offerings.push(offering);
         }
@@ -418,11 +442,7 @@
             asked,
             end: self.now + (left - Span::millis(6)),
             dispatches: Vec::new(),
-            retry_at: None,
-            bad_sources: Vec::new(),
-            fulls: 0,
             finished: false,
-            streaming: false,
         };
         let end = held.end;
         if self.views.len() <= no.0 as usize {
@@ -443,7 +463,7 @@
     /// A streamed answer began: the dispatch belongs to the client now.
     pub fn started(&mut self, no: ViewNo) {
         if let Some(held) = self.held_mut(no) {
-            held.streaming = true;
+            held.finished = true;
         }
     }
 
@@ -466,25 +486,39 @@
         easy.iter().map(|took| took.as_secs()).sum::<f64>() / easy.len() as f64
     }
 
-    /// How many views of an offering a cache may have in hand from here and still be in time with it,
-    /// as its last hits show. Sending slows down in proportion to what is in hand once a link is full,
-    /// so the number at which it gets too slow follows from the mean slowness and the mean number.
-    /// Answers overload, slow caches and hot objects alike; what is slow for want of fills does not
-    /// count. Could harm where lateness has another cause that grows with what is in hand.
-    fn limit(&self, member: &Member, offering: u16) -> f64 {
+    /// How many views of an offering a cache, or fills the way in, may have in hand from here with it
+    /// still in time, as the last ones show. Sending slows down in proportion to what is in hand once a
+    /// link is full, so the number at which it gets too slow follows from the mean slowness and the mean
+    /// number. Answers overload, slow caches, parents and origins, full links and hot objects alike.
+    /// Could harm where lateness has a cause that does not grow with what is in hand.
+    fn limit(&self, loads: &Samples<Load>, offering: u16, calm: f64) -> f64 {
         let (mut work, mut took, mut held) = (0.0, 0.0, 0.0);
-        for load in &member.loads.0 {
+        for load in &loads.0 {
             work += load.work;
             took += load.took.as_secs();
-            held += f64::from(load.held) * load.work;
+            held += load.held * load.work;
         }
-        if member.loads.0.len() < 8 || took < work * 1.5 {
+        if loads.0.len() < 8 || took < work * calm {
             return f64::INFINITY;
         }
         let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
         let goal = self.offerings[offering as usize].goal;
-        let bearable = 0.5 * (stretch + goal.as_secs() / self.mean_work(offering).max(0.001));
-        (held / work * bearable / (took / work)).max(2.0)
+        let bearable = 0.6 * (stretch + goal.as_secs() / self.mean_work(offering).max(0.001));
+        held / work * bearable / (took / work)
+    }
+
+    /// The fills in hand here over those that may be, so that one of the offering still comes in time.
+    fn fill_crowd(&self, offering: u16) -> f64 {
+        self.fills_in_hand() / self.limit(&self.fill_loads, offering, 2.5).max(4.0)
+    }
+
+    /// Fills in hand by estimate: of what fills as it comes, the part of the time that went to fills.
+    fn fills_in_hand(&self) -> f64 {
+        let took = |only: bool| {
+            let counted = self.filled.0.iter().filter(|filled| filled.0 || !only);
+            counted.map(|filled| filled.1.as_secs()).sum::<f64>()
+        };
+        self.filling.1 + self.filling.0 * took(true) / took(false).max(0.001)
     }
 
     /// Members of one tier in the order of the weighted rendezvous hash, best first.
@@ -556,13 +590,13 @@
     /// Whether a view would come late from a cache with that much in hand.
     fn too_late(&self, cache: CacheNo, offering: u16) -> bool {
         let member = self.member(cache);
-        member.tier == Tier::Cache && f64::from(member.out) >= self.limit(member, offering)
+        member.tier == Tier::Cache
+            && f64::from(member.out) >= self.limit(&member.loads, offering, 1.5).max(2.0)
     }
 
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
     fn route(&mut self, no: ViewNo) {
-        let Some(held) = self.held_mut(no) else { return };
-        held.retry_at = None;
+        let Some(held) = self.held(no) else { return };
         let asked = held.asked;
         let through = self.offerings[asked.offering as usize].runs_at_origin;
         let direct = self.fact("direct", 0.0) > 0.0;
@@ -570,20 +604,21 @@
         let origin = self.order(hash, Tier::Origin).first().copied();
         let plain = self.fact("fills", 1.0) == 0.0;
         if let Some(origin) = origin.filter(|_| through && direct) {
-            return self.send(no, origin, None);
+            return self.send(no, origin, None, Filling::AsItComes);
         }
-        let Some(held) = self.held(no) else { return };
-        let tried = |cache: &CacheNo| held.dispatches.iter().any(|d| d.cache == *cache && !d.called_off);
+        let tried = |cache: &CacheNo| {
+            let by_source = |d: &Dispatch| d.source.is_some_and(|source| held.failed_at(source));
+            let spent = |d: &Dispatch| d.cache == *cache && d.filling != Filling::Not && !by_source(d);
+            held.dispatches.iter().any(spent)
+        };
+        let missed = held.dispatches.last().is_some_and(|d| d.filling == Filling::Not);
         let work = self.mean_work(asked.offering);
         let bearable = |cache: &CacheNo| self.bears(self.member(*cache), work);
         let mut source = (self.order(hash, Tier::Parent).into_iter().filter(bearable))
-            .min_by_key(|parent| {
-                self.penalty(*parent, asked.offering, hash, held.bad_sources.contains(parent))
-            })
+            .min_by_key(|parent| self.penalty(*parent, asked.offering, hash, held.failed_at(*parent)))
             .or(origin);
-        let mut cache = (self.order(hash, Tier::Cache).into_iter().filter(bearable)).min_by_key(|cache| {
-            self.penalty(*cache, asked.offering, hash, tried(cache) && held.bad_sources.is_empty())
-        });
+        let mut cache = (self.order(hash, Tier::Cache).into_iter().filter(bearable))
+            .min_by_key(|cache| self.penalty(*cache, asked.offering, hash, tried(cache)));
         if plain {
             source = None;
         } else if through {
@@ -592,21 +627,35 @@
             // No cache of the location can take it: the parent answers by itself.
             cache = source;
         }
+        // While fills come late, a view is first sent without one: hits and joins are served as ever, and
+        // only what surely misses is turned back. Guards the location's link, the parents and the origin
+        // from more fills than come in time, whatever made them late. Acts at four fifths of the limit.
+        let crowd = self.fill_crowd(asked.offering);
+        let filling = match cache {
+            _ if plain || through || cache == source => Filling::AsItComes,
+            _ if missed => Filling::Surely,
+            _ if crowd > 0.8 => Filling::Not,
+            _ => Filling::AsItComes,
+        };
         match cache {
-            Some(cache) if !self.too_late(cache, asked.offering) => self.send(no, cache, source),
+            _ if filling == Filling::Surely && crowd >= 1.0 => self.give_up(no),
+            Some(cache) if !self.too_late(cache, asked.offering) => {
+                let source = if filling == Filling::Not { Some(cache) } else { source };
+                self.send(no, cache, source, filling)
+            }
             _ => self.give_up(no),
         }
     }
 
     /// The one place that every send passes; here the rules are kept.
-    fn send(&mut self, no: ViewNo, cache: CacheNo, source: Option<CacheNo>) {
+    fn send(&mut self, no: ViewNo, cache: CacheNo, source: Option<CacheNo>, filling: Filling) {
         let second_copies = self.fact("second_copies", 0.0) > 0.0;
         let most = self.fact("most_dispatches", 1.0) as usize;
         let Some(held) = self.held(no) else { return };
         let offering = &self.offerings[held.asked.offering as usize];
         // Rule 1: nothing after the final answer, and time must be left for one.
         let left = held.end.since(self.now);
-        if held.finished || held.streaming {
+        if held.finished {
             return;
         }
         // Rule 2: what may have run goes again only where a repeat does no harm.
@@ -626,7 +675,7 @@
                 same && self.now.since(since) + Span::millis(20) < window
             }
         };
-        let open = held.dispatches.iter().filter(|d| d.open).count();
+        let open = held.open().count();
         let alone = open == 0 || (second_copies && open == 1 && offering.effect == Effect::Repeatable);
         // Rule 3: a cache that drains or is gone gets nothing, be it as cache or as source.
         let ready = |no: CacheNo| self.member(no).listed.standing == Standing::Ready;
@@ -648,7 +697,7 @@
         let purge = [(true, held.asked.object), (false, u64::from(held.asked.group))];
         let purged = purge.iter().filter_map(|key| self.purges.get(key)).max();
         let since_purge = purged.map(|at| self.now.since(*at).max(Span::micros(1)));
-        let retry = !held.dispatches.is_empty();
+        let retry = held.dispatches.iter().any(|d| d.filling != Filling::Not);
         // A copy past its fresh time earns less; it is taken when the first dispatch has failed.
         let limit = match (offering.fresh, retry) {
             (Span::ZERO, _) => None,
@@ -685,19 +734,17 @@
             member.waiting_since = now;
         }
         member.out += 1;
-        let load = member.out;
+        let load = f64::from(member.out);
+        match filling {
+            Filling::AsItComes => self.filling.0 += 1.0,
+            Filling::Surely => self.filling.1 += 1.0,
+            Filling::Not => {}
+        }
+        let fills = self.fills_in_hand();
         self.sends.add(retry);
         if let Some(held) = self.held_mut(no) {
-            let (sent, open) = (now, true);
-            held.dispatches.push(Dispatch {
-                cache,
-                source,
-                sent,
-                load,
-                open,
-                called_off: false,
-                void: false,
-            });
+            let (sent, called_off, end) = (now, false, None);
+            held.dispatches.push(Dispatch { cache, source, sent, load, filling, fills, called_off, end });
         }
         if now + check < view_end {
             self.alarm(now + check, no);
@@ -706,9 +753,7 @@
 
     /// How long one dispatch may take: well beyond what its offering's answers took lately.
     fn patience(&self, held: &Held, left: Span) -> Span {
-        let offering = &self.offerings[held.asked.offering as usize];
-        let slowest = |samples: &Samples<Span>| samples.quantile(0.95, |took| *took);
-        let usual = slowest(&offering.hits).max(slowest(&offering.fills)).unwrap_or(left);
+        let usual = self.filled.quantile(0.95, |filled| filled.1).unwrap_or(left);
         let cut_off = self.span(&format!("offering.{}.cut_off", held.asked.offering), left);
         (usual * 3.0).max(cut_off * 0.5).min(left)
     }
@@ -722,16 +767,13 @@
     /// An alarm of a view rang: its time is up, a retry is due, or its cache may be hung.
     fn due(&mut self, no: ViewNo) {
         let Some(held) = self.held(no) else { return };
-        if held.streaming {
-            return;
-        }
         if self.now >= held.end {
             return self.give_up(no);
         }
-        if held.retry_at.is_some_and(|at| at <= self.now) {
+        if held.open().count() == 0 {
             return self.route(no);
         }
-        let Some(nth) = held.dispatches.iter().position(|d| d.open && !d.called_off) else { return };
+        let Some((nth, _)) = held.open().find(|(_, d)| !d.called_off) else { return };
         let cache = held.dispatches[nth].cache;
         let hush = self.hush(cache);
         let member = self.member(cache);
@@ -813,18 +855,30 @@
         let Some(held) = self.held_mut(no) else { return };
         let serial = held.serial;
         let asked = held.asked;
-        let Some(dispatch) = held.dispatches.get_mut(nth as usize).filter(|d| d.open) else { return };
-        dispatch.open = false;
-        dispatch.void =
-            matches!(verdict, Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss);
+        let open = held.dispatches.get_mut(nth as usize).filter(|d| d.end.is_none());
+        let Some(dispatch) = open else { return };
+        dispatch.end = Some(end);
         let (cache, source, called_off) = (dispatch.cache, dispatch.source, dispatch.called_off);
-        let load = dispatch.load;
+        let (load, filling, fills) = (dispatch.load, dispatch.filling, dispatch.fills);
         let member = self.member_mut(cache);
         member.out = member.out.saturating_sub(1);
         if verdict != Verdict::CalledOff && verdict != Verdict::TimedOut {
             member.gaps.add(now.since(member.heard.max(member.waiting_since)));
             member.heard = now;
         }
+        match filling {
+            Filling::AsItComes => self.filling.0 -= 1.0,
+            Filling::Surely => self.filling.1 -= 1.0,
+            Filling::Not => {}
+        }
+        let by_fill = matches!(note, Note::Filled | Note::FilledByOrigin);
+        if verdict == Verdict::Done && filling == Filling::AsItComes {
+            self.filled.add((by_fill, took.0));
+        }
+        if by_fill || matches!(note, Note::SourceLost) || verdict == Verdict::TimedOut && !called_off {
+            let work = self.work(&asked);
+            self.fill_loads.add(Load { held: fills, work, took: took.0 });
+        }
         // A hit drew nothing from its source's budget.
         let hit = matches!(note, Note::Hit | Note::Joined | Note::OldCopy);
         if let Some(source) = source.filter(|s| hit && *s != cache) {
@@ -833,45 +887,40 @@
         if matches!(note, Note::Hit | Note::OldCopy) {
             let work = self.work(&asked);
             self.member_mut(cache).loads.add(Load { held: load, work, took: took.0 });
-            if load <= 3 {
+            if load <= 3.0 {
                 self.offerings[asked.offering as usize].easy.add(took.0);
             }
         }
-        self.learn(cache, source, &asked, end, took, called_off);
+        if !called_off {
+            self.learn(cache, source, &asked, end);
+        }
         if last {
             return self.finish(no);
         }
         if self.held(no).is_none_or(|held| held.finished) {
             return self.finish(no);
         }
-        self.retry(no, verdict, note, source);
+        if filling == Filling::Not && verdict == Verdict::Miss {
+            return self.route(no);
+        }
+        self.retry(no, verdict);
     }
 
     /// Draws from the end of a dispatch what it says of cache, source and offering.
-    fn learn(
-        &mut self,
-        cache: CacheNo,
-        source: Option<CacheNo>,
-        asked: &Asked,
-        end: (Verdict, Note),
-        took: (Span, Span),
-        called_off: bool,
-    ) {
+    fn learn(&mut self, cache: CacheNo, source: Option<CacheNo>, asked: &Asked, end: (Verdict, Note)) {
         let (verdict, note) = end;
         let now = self.now;
         let work = self.work(asked);
-        let offering = &mut self.offerings[asked.offering as usize];
         let filled = matches!(note, Note::Filled | Note::FilledByOrigin);
         match verdict {
             Verdict::Done => {
-                if filled { &mut offering.fills } else { &mut offering.hits }.add(took.0);
                 if let Some(source) = source.filter(|s| filled && *s != cache) {
                     self.fills.add((now, work));
                     self.sign(source, true);
                 }
                 self.sign(cache, true);
             }
-            Verdict::Error | Verdict::TimedOut | Verdict::Broken | Verdict::Unreachable if !called_off => {
+            Verdict::Error | Verdict::TimedOut | Verdict::Broken | Verdict::Unreachable => {
                 let by_source = matches!(note, Note::SourceRefused | Note::SourceLost);
                 if !by_source && note != Note::OriginFailed {
                     self.sign(cache, false);
@@ -886,20 +935,16 @@
     }
 
     /// A dispatch failed: plans the next one, or gives the view up.
-    fn retry(&mut self, no: ViewNo, verdict: Verdict, note: Note, source: Option<CacheNo>) {
+    fn retry(&mut self, no: ViewNo, verdict: Verdict) {
         let now = self.now;
         let retries = self.sends.0.iter().filter(|retry| **retry).count();
         let shaken = self.chance.random_range(0.0..1.0);
-        let Some(held) = self.held_mut(no) else { return };
-        if held.dispatches.iter().any(|d| d.open) {
+        let Some(held) = self.held(no) else { return };
+        if held.open().count() > 0 {
             return;
         }
-        let sourced = matches!(note, Note::SourceRefused | Note::SourceLost | Note::SourceLacks);
-        if let Some(source) = source.filter(|_| sourced || note == Note::OriginFailed) {
-            held.bad_sources.push(source);
-        }
-        held.fulls += u32::from(verdict == Verdict::Full);
-        let fulls = held.fulls;
+        let full = |d: &&Dispatch| d.end.is_some_and(|end| end.0 == Verdict::Full);
+        let fulls = held.dispatches.iter().filter(full).count();
         let nth = held.dispatches.len() as f64;
         // The waiters of a failed join come back spread out; what was only diverted goes at once.
         let pause = match verdict {
@@ -914,7 +959,6 @@
         if pause == Span::ZERO {
             return self.route(no);
         }
-        held.retry_at = Some(now + pause);
         self.alarm(now + pause, no);
     }
 
@@ -924,19 +968,13 @@
         let come_back = Span::secs(come_back).min(self.span("longest_come_back", Span::ZERO));
         let advised = self.fact("come_back_told", 0.0) > 0.0;
         let calling_off = self.fact("calling_off", 0.0) > 0.0;
-        let Some(held) = self.held_mut(no) else { return };
-        if held.finished || held.streaming {
+        let Some(held) = self.held(no) else { return };
+        if held.finished {
             return;
         }
         let offering = held.asked.offering;
         let clean = held.ran().is_none();
-        let mut open = Vec::new();
-        for (nth, dispatch) in held.dispatches.iter_mut().enumerate().filter(|(_, d)| d.open) {
-            if !dispatch.called_off {
-                dispatch.called_off = true;
-                open.push(nth as u16);
-            }
-        }
+        let open: Vec<u16> = held.open().filter(|(_, d)| !d.called_off).map(|(nth, _)| nth as u16).collect();
         let group = self.word(&format!("offering.{offering}.group")) == "all";
         let honest = match self.offerings[offering as usize].effect {
             Effect::Repeatable => true,
@@ -957,7 +995,7 @@
     fn finish(&mut self, no: ViewNo) {
         if let Some(held) = self.held_mut(no) {
             held.finished = true;
-            if held.dispatches.iter().all(|d| !d.open) {
+            if held.open().count() == 0 {
                 self.views[no.0 as usize] = None;
             }
         }
