--- a/src/control.rs
+++ b/src/control.rs
@@ -191,7 +191,8 @@
     alarms: BinaryHeap<Reverse<(Moment, u64, ViewNo)>>,
     next_wake: Option<Moment>,
     resubscribe: Option<Moment>,
-    arrivals: Samples<(Moment, f64)>,
+    /// Work that warm caches of the location did, and fills that warm parents gave, by time.
+    served: Samples<(Moment, f64)>,
     fills: Samples<(Moment, f64)>,
     sends: Samples<bool>,
     /// The last fills.
@@ -233,16 +234,14 @@
             alarms: BinaryHeap::new(),
             next_wake: None,
             resubscribe: None,
-            arrivals: Samples::last(256),
+            served: Samples::last(256),
             fills: Samples::last(128),
             sends: Samples::last(64),
             fill_loads: Samples::last(40),
             filled: Samples::last(64),
             filling: (0.0, 0.0),
         };
-        for name in ["offerings", "location", "drain_grace"] {
-            control.need(name)?;
-        }
+        ["location", "drain_grace"].into_iter().try_for_each(|name| control.need(name).map(drop))?;
         for i in 0..control.need("offerings")? as usize {
             control.need(&format!("offering.{i}.cut_off"))?;
             let fact = |what: &str| control.fact(&format!("offering.{i}.{what}"), 0.0);
@@ -449,8 +448,6 @@
             self.views.resize_with(no.0 as usize + 1, || None);
         }
         self.views[no.0 as usize] = Some(held);
-        let work = self.work(&asked);
-        self.arrivals.add((self.now, work));
         self.alarm(end, no);
         self.route(no);
     }
@@ -542,10 +539,15 @@
         (floor + (1.0 - floor) * gained).min(1.0)
     }
 
+    fn is_warm(&self, no: CacheNo) -> bool {
+        self.warmth(self.member(no)) >= 1.0
+    }
+
     /// Rule 4: whether a cold member can take this work without any danger of falling over. The budget
     /// of a sliding window is what it surely has, times the multiple that it bears, times the window.
-    /// Its capacity is put low: this router's own flow, shared over all members ever listed beside it.
-    /// As every router counts only the flow that comes to itself, their budgets add up to one.
+    /// Its capacity is put low: what warm members lately did for this router, shared over all ever listed
+    /// beside it. As every router counts only what was done for itself, their budgets add up to one. What
+    /// was asked for does not count: after a loss it swells with the clients' repeats.
     fn bears(&self, member: &Member, work: f64) -> bool {
         let warmth = self.warmth(member);
         if warmth >= 1.0 {
@@ -553,15 +555,15 @@
         }
         let (multiple, flow) = match member.tier {
             Tier::Parent => (self.fact("parent_multiple", 1.0), pace(&self.fills)),
-            _ => (self.fact("cold_multiple", 1.0), pace(&self.arrivals)),
+            _ => (self.fact("cold_multiple", 1.0), pace(&self.served)),
         };
-        let capacity = flow * f64::from(member.listed.size) / self.size(member.tier) * 0.7;
+        let capacity = flow * f64::from(member.listed.size) / self.size(member.tier);
         let window = self.span("cold_window", Span::secs(1.0));
         let spent: f64 = (member.drawn.iter())
             .filter(|drawn| self.now.since(drawn.0) <= window)
             .map(|drawn| drawn.1)
             .sum();
-        spent == 0.0 || spent + work <= warmth * multiple * capacity * window.as_secs() * 0.8
+        spent == 0.0 || spent + work <= warmth * multiple * capacity * window.as_secs() * 0.7
     }
 
     /// How little a member suits a view: 0 is an ordinary one; among equals the hash order decides.
@@ -706,8 +708,7 @@
         };
         let oldest = limit.into_iter().chain(since_purge).min();
         let keep = !offering.runs_at_origin;
-        let renew =
-            keep && offering.fresh > Span::ZERO && source.is_some_and(|s| self.warmth(self.member(s)) >= 1.0);
+        let renew = keep && offering.fresh > Span::ZERO && source.is_some_and(|s| self.is_warm(s));
         let wait = self.patience(held, left);
         let check = self.hush(cache);
         let serial = held.serial;
@@ -722,7 +723,7 @@
         let now = self.now;
         let window = self.span("cold_window", Span::secs(1.0));
         for place in [Some(cache), source.filter(|s| *s != cache)].into_iter().flatten() {
-            let cold = self.warmth(self.member(place)) < 1.0;
+            let cold = !self.is_warm(place);
             let member = self.member_mut(place);
             member.drawn.retain(|drawn| now.since(drawn.0) <= window);
             if cold {
@@ -894,10 +895,7 @@
         if !called_off {
             self.learn(cache, source, &asked, end);
         }
-        if last {
-            return self.finish(no);
-        }
-        if self.held(no).is_none_or(|held| held.finished) {
+        if last || self.held(no).is_none_or(|held| held.finished) {
             return self.finish(no);
         }
         if filling == Filling::Not && verdict == Verdict::Miss {
@@ -910,14 +908,19 @@
     fn learn(&mut self, cache: CacheNo, source: Option<CacheNo>, asked: &Asked, end: (Verdict, Note)) {
         let (verdict, note) = end;
         let now = self.now;
-        let work = self.work(asked);
+        let work = self.mean_work(asked.offering);
         let filled = matches!(note, Note::Filled | Note::FilledByOrigin);
         match verdict {
             Verdict::Done => {
                 if let Some(source) = source.filter(|s| filled && *s != cache) {
-                    self.fills.add((now, work));
+                    if self.is_warm(source) {
+                        self.fills.add((now, work));
+                    }
                     self.sign(source, true);
                 }
+                if self.is_warm(cache) && self.member(cache).tier == Tier::Cache {
+                    self.served.add((now, work));
+                }
                 self.sign(cache, true);
             }
             Verdict::Error | Verdict::TimedOut | Verdict::Broken | Verdict::Unreachable => {
