Stories for each failure met, and frames by hand for the adapter

Work of past answers is now valued when it is needed, by the present mean, so the first answers no longer count at the latency goal in a cold member's capacity.

--- /dev/null
+++ b/crates/benchlink/tests/frames.rs
@@ -0,0 +1,148 @@
+//! The built binary against frames written by hand after the wire's layout.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const SETTINGS: &str = r#"{"zone": 1, "unknown": [1], "rules": {"drain_grace": 500000},
+ "family": "edge", "family_info": {"root_kind": 2, "second_tier_kind": 1, "bypass_allowed": true},
+ "limits": {"most_tries": 4, "retry_after": true, "max_retry_after": 400000},
+ "request_classes": [{"deadline": 5000000, "objective": 300000, "effect": "read_like"}]}"#;
+
+fn record(code: u8, fields: &[&[u8]]) -> Vec<u8> {
+    let body = fields.concat();
+    [&[code][..], &(body.len() as u32).to_le_bytes(), &body].concat()
+}
+
+fn batch(clock: u64, records: &[Vec<u8>]) -> Vec<u8> {
+    let body = records.concat();
+    let (size, count) = (body.len() as u32 + 4, records.len() as u32);
+    [&clock.to_le_bytes()[..], &size.to_le_bytes(), &count.to_le_bytes(), &body].concat()
+}
+
+fn spawn(who: u32, settings: &str) -> Vec<u8> {
+    let size = (settings.len() as u32).to_le_bytes();
+    record(1, &[&who.to_le_bytes(), &[7; 8], &size, settings.as_bytes()])
+}
+
+const CACHE: [u8; 6] = [10, 18, 74, 7, 0x93, 0x1f];
+
+/// One cache in zone 1, a parent and the origin in zone 0.
+fn list(who: u32, state: u8) -> Vec<u8> {
+    let entry = |address: &[u8; 6], zone: u8, kind: u8| {
+        [&[state][..], address, &[0; 8], &[zone], &1f32.to_le_bytes(), &[kind], &[0; 2]].concat()
+    };
+    let entries = [entry(&CACHE, 1, 0), entry(&[9; 6], 0, 1), entry(&[8; 6], 0, 2)].concat();
+    record(2, &[&who.to_le_bytes(), &[0], &[1; 8], &3u32.to_le_bytes(), &entries])
+}
+
+fn ingress(who: u32, ticket: u64) -> Vec<u8> {
+    let (part, group) = (2f32.to_le_bytes(), 11f32.to_le_bytes());
+    let (left, object) = (1_000_000u32.to_le_bytes(), 77u64.to_le_bytes());
+    let ticket = ticket.to_le_bytes();
+    record(3, &[&who.to_le_bytes(), &ticket, &part, &left, &[0; 2], &group, &[0; 4], &object, &[0; 4]])
+}
+
+fn done(who: u32, ticket: u64, verdict: u8) -> Vec<u8> {
+    let (ticket, who) = (ticket.to_le_bytes(), who.to_le_bytes());
+    record(5, &[&who, &ticket, &[1, 0, 0, 0], &[1], &[0; 8], &CACHE, &[verdict], &[0; 2], &[1], &[0; 4]])
+}
+
+fn run(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tindoor-benchlink"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut stdin = child.stdin.take().unwrap();
+    let input = input.to_vec();
+    let writer = std::thread::spawn(move || drop(stdin.write_all(&input)));
+    let output = child.wait_with_output().unwrap();
+    writer.join().unwrap();
+    output
+}
+
+/// The codes and bodies of the actions in each reply.
+fn replies(output: &Output) -> Vec<Vec<(u8, Vec<u8>)>> {
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let (mut bytes, mut replies) = (&output.stdout[..], Vec::new());
+    let size = |bytes: &[u8]| u32::from_le_bytes(bytes[..4].try_into().unwrap()) as usize;
+    while !bytes.is_empty() {
+        let (mut reply, rest) = bytes[4..].split_at(size(bytes));
+        let mut actions = Vec::new();
+        while !reply.is_empty() {
+            let end = 5 + size(&reply[1..]);
+            actions.push((reply[0], reply[5..end].to_vec()));
+            reply = &reply[end..];
+        }
+        replies.push(actions);
+        bytes = rest;
+    }
+    replies
+}
+
+#[test]
+fn a_view_is_read_through_its_cache_and_odd_but_legal_records_are_taken_quietly() {
+    let destroy = record(10, &[&3u32.to_le_bytes()]);
+    let gone = record(6, &[&3u32.to_le_bytes(), &500u64.to_le_bytes()]);
+    let purge = record(11, &[&3u32.to_le_bytes(), &[0; 8], &11u16.to_le_bytes(), &1000u32.to_le_bytes()]);
+    let input = [
+        batch(5, &[]),
+        batch(10, &[spawn(3, SETTINGS), list(3, 1)]),
+        [batch(20, &[]), batch(30, &[ingress(3, 500)])].concat(),
+        batch(40, &[done(3, 500, 10), done(3, 500, 10), gone]),
+        batch(50, &[destroy, spawn(3, SETTINGS), list(3, 1), list(3, 1), purge, ingress(3, 501)]),
+    ];
+    let replies = replies(&run(&input.concat()));
+    assert_eq!(replies.len(), 6);
+    let purged = replies[5].iter().find(|action| action.0 == 7).unwrap();
+    assert_eq!(purged.1[18..22], 1000u32.to_le_bytes(), "the oldest copy allowed");
+    let read = replies[3].iter().find(|action| action.0 == 7).unwrap();
+    let mut expected =
+        [&3u32.to_le_bytes()[..], &500u64.to_le_bytes(), &CACHE, &[0; 4], &[9; 6], &[1]].concat();
+    expected.extend_from_slice(&read.1[29..33]);
+    expected.push(1);
+    assert_eq!(read.1, expected);
+}
+
+#[test]
+fn an_instance_killed_and_started_again_in_one_batch_knows_nothing_of_its_past() {
+    let destroy = record(10, &[&3u32.to_le_bytes()]);
+    let batches = [
+        batch(10, &[spawn(3, SETTINGS), list(3, 1), spawn(4, SETTINGS)]),
+        batch(20, &[ingress(3, 1), destroy, spawn(3, SETTINGS), ingress(3, 2), ingress(4, 3)]),
+    ];
+    let replies = replies(&run(&batches.concat()));
+    let codes: Vec<u8> = replies[1].iter().map(|action| action.0).filter(|code| *code != 8).collect();
+    assert_eq!(codes, [7, 9, 9], "read by the first life; turned back by those that know no cache");
+}
+
+#[test]
+fn bad_input_gives_one_plain_line_and_a_failure() {
+    let cut = |bytes: Vec<u8>, size: usize| bytes[..bytes.len() - size].to_vec();
+    let start = [spawn(3, SETTINGS), list(3, 1)];
+    let with = |more: Vec<u8>| batch(10, &[&start[..], &[more]].concat());
+    let mut huge = batch(10, &[]);
+    huge[8..12].copy_from_slice(&u32::MAX.to_le_bytes());
+    let mut short_list = list(3, 1);
+    short_list[18] = 200;
+    let cases = [
+        (cut(batch(10, &start), 3), "batch cut short"),
+        (batch(10, &start)[..9].to_vec(), "header cut short"),
+        (huge, "batch cut short"),
+        (with(done(3, 1, 99)), "record 2: Done: unknown verdict 99"),
+        (with(record(3, &[&3u32.to_le_bytes()])), "record 2: Ingress: too short"),
+        (with(short_list), "record 2: DirectoryUpdate: too short"),
+        (with(ingress(8, 1)), "record 2: Ingress: instance 8 was never started"),
+        (with(record(99, &[])), "record 2: unknown event code 99"),
+        (batch(10, &[spawn(3, "{")]), "record 0: Spawn: settings: not JSON"),
+        (batch(10, &[spawn(3, "{}")]), "record 0: Spawn: settings: request_classes is missing"),
+        (batch(10, &[spawn(3, r#"{"request_classes": []}"#)]), "settings: location is not set"),
+    ];
+    for (input, trouble) in cases {
+        let output = run(&input);
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(said.contains(trouble) && said.lines().count() == 1, "{trouble}: {said}");
+        assert_eq!(output.status.code(), Some(1), "{trouble}");
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -78,16 +78,6 @@
     }
 }
 
-/// The work per second in samples of work, over the time that they span.
-fn pace(samples: &Samples<(Moment, f64)>) -> f64 {
-    match (samples.0.front(), samples.0.back()) {
-        (Some(first), Some(last)) if samples.0.len() >= 12 => {
-            samples.0.iter().map(|s| s.1).sum::<f64>() / last.0.since(first.0).as_secs().max(0.5)
-        }
-        _ => 0.0,
-    }
-}
-
 #[derive(Clone, Copy, PartialEq)]
 enum Tier {
     /// A cache of the own location.
@@ -191,9 +181,9 @@
     alarms: BinaryHeap<Reverse<(Moment, u64, ViewNo)>>,
     next_wake: Option<Moment>,
     resubscribe: Option<Moment>,
-    /// Work that warm caches of the location did, and fills that warm parents gave, by time.
-    served: Samples<(Moment, f64)>,
-    fills: Samples<(Moment, f64)>,
+    /// When warm caches of the location served which offering, and when warm parents gave a fill.
+    served: Samples<(Moment, u16)>,
+    fills: Samples<(Moment, u16)>,
     sends: Samples<bool>,
     /// The last fills.
     fill_loads: Samples<Load>,
@@ -539,6 +529,17 @@
         (floor + (1.0 - floor) * gained).min(1.0)
     }
 
+    /// The work per second that these samples stand for, over the time that they span.
+    fn pace(&self, samples: &Samples<(Moment, u16)>) -> f64 {
+        match (samples.0.front(), samples.0.back()) {
+            (Some(first), Some(last)) if samples.0.len() >= 12 => {
+                let work: f64 = samples.0.iter().map(|sample| self.mean_work(sample.1)).sum();
+                work / last.0.since(first.0).as_secs().max(0.5)
+            }
+            _ => 0.0,
+        }
+    }
+
     fn is_warm(&self, no: CacheNo) -> bool {
         self.warmth(self.member(no)) >= 1.0
     }
@@ -554,8 +555,8 @@
             return true;
         }
         let (multiple, flow) = match member.tier {
-            Tier::Parent => (self.fact("parent_multiple", 1.0), pace(&self.fills)),
-            _ => (self.fact("cold_multiple", 1.0), pace(&self.served)),
+            Tier::Parent => (self.fact("parent_multiple", 1.0), self.pace(&self.fills)),
+            _ => (self.fact("cold_multiple", 1.0), self.pace(&self.served)),
         };
         let capacity = flow * f64::from(member.listed.size) / self.size(member.tier);
         let window = self.span("cold_window", Span::secs(1.0));
@@ -908,18 +909,17 @@
     fn learn(&mut self, cache: CacheNo, source: Option<CacheNo>, asked: &Asked, end: (Verdict, Note)) {
         let (verdict, note) = end;
         let now = self.now;
-        let work = self.mean_work(asked.offering);
         let filled = matches!(note, Note::Filled | Note::FilledByOrigin);
         match verdict {
             Verdict::Done => {
                 if let Some(source) = source.filter(|s| filled && *s != cache) {
                     if self.is_warm(source) {
-                        self.fills.add((now, work));
+                        self.fills.add((now, asked.offering));
                     }
                     self.sign(source, true);
                 }
                 if self.is_warm(cache) && self.member(cache).tier == Tier::Cache {
-                    self.served.add((now, work));
+                    self.served.add((now, asked.offering));
                 }
                 self.sign(cache, true);
             }
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,447 @@
+//! Short stories, one for each failure met or rule kept, told to the decisions through one tiny host.
+
+use tindoor::control::Control;
+use tindoor::host::*;
+use tindoor::time::{Moment, Span};
+
+#[derive(Debug, Clone, PartialEq)]
+enum Act {
+    Look(u32, u32),
+    Read { view: u32, cache: u32, source: u32, oldest: Option<Span>, join: bool, rank: u8 },
+    CallOff(u32, u16),
+    TurnBack(u32, Option<Span>),
+    WriteOff(u32),
+}
+
+#[derive(Default)]
+struct Fake(Vec<Act>);
+
+impl Host for Fake {
+    fn look(&mut self, view: ViewNo, cache: CacheNo, _: Span) {
+        self.0.push(Act::Look(view.0, cache.0));
+    }
+    fn read(&mut self, view: ViewNo, cache: CacheNo, _: Span, terms: Terms) {
+        let Terms { source: CacheNo(source), oldest, join, rank, .. } = terms;
+        self.0.push(Act::Read { view: view.0, cache: cache.0, source, oldest, join, rank });
+    }
+    fn call_off(&mut self, view: ViewNo, nth: u16) {
+        self.0.push(Act::CallOff(view.0, nth));
+    }
+    fn turn_back(&mut self, view: ViewNo, come_back: Option<Span>) {
+        self.0.push(Act::TurnBack(view.0, come_back));
+    }
+    fn write_off(&mut self, view: ViewNo) {
+        self.0.push(Act::WriteOff(view.0));
+    }
+    fn wake_in(&mut self, _: Span) {}
+    fn subscribe(&mut self) {}
+}
+
+const PARENT: u8 = 1;
+const ORIGIN: u8 = 2;
+const START: u64 = 100_000_000;
+
+/// A router, its clock in milliseconds and the number of its next view.
+struct Router {
+    control: Control<Fake>,
+    millis: u64,
+    next: u32,
+}
+
+fn line(cache: u32, stable: u64, kind: u8, started: Option<u64>) -> Listed {
+    let location = if kind == 0 { 3 } else { 0 };
+    let started = started.map(|millis| Moment::at_micros(START + millis * 1000));
+    let (cache, standing) = (CacheNo(cache), Standing::Ready);
+    Listed { cache, stable, standing, started, location, size: 1.0, kind, cell: 0 }
+}
+
+/// Four caches, two parents and the origin, in that order.
+fn fleet() -> Vec<Listed> {
+    (0..7)
+        .map(|no| line(no, 1000 + u64::from(no), [0, 0, 0, 0, PARENT, PARENT, ORIGIN][no as usize], None))
+        .collect()
+}
+
+/// Offering 0 is repeatable and may be kept; 1 goes stale; 2 is tagged and 3 once-only, both run at the origin.
+fn router(list: &[Listed], more: &[(&str, f64)]) -> Router {
+    let numbers = [
+        ("offerings", 4.0),
+        ("location", 3.0),
+        ("drain_grace", 5e5),
+        ("parent_kind", 1.0),
+        ("origin_kind", 2.0),
+        ("most_dispatches", 6.0),
+        ("calling_off", 1.0),
+        ("direct", 1.0),
+        ("come_back_told", 1.0),
+        ("longest_come_back", 5e5),
+        ("cold_floor", 0.2),
+        ("warm_within", 15e6),
+        ("cold_multiple", 2.5),
+        ("cold_window", 2e6),
+        ("parent_floor", 0.1),
+        ("parent_warm_within", 20e6),
+        ("parent_multiple", 2.0),
+        ("copies_gone_after", 6e6),
+        ("offering.1.fresh", 8e6),
+        ("offering.1.older_by", 20e6),
+        ("offering.2.window", 3e6),
+        ("offering.2.runs_at_origin", 1.0),
+        ("offering.3.runs_at_origin", 1.0),
+    ];
+    let number = |(name, value): &(&str, f64)| (name.to_string(), Fact::Number(*value));
+    let mut facts: Facts = numbers.iter().chain(more).map(number).collect();
+    for i in 0..4 {
+        for (name, value) in
+            [("cut_off", 5e6), ("latency_goal", 3e5), ("goal_stretch", 2.0), ("earnings", 1.0)]
+        {
+            facts.insert(format!("offering.{i}.{name}"), Fact::Number(value));
+        }
+    }
+    for (name, word) in [("2.effect", "tagged"), ("2.group", "all"), ("3.effect", "once-only")] {
+        facts.insert(format!("offering.{name}"), Fact::Word(word.to_string()));
+    }
+    let mut control = Control::start(Fake::default(), facts, 7, Moment::at_micros(START)).unwrap();
+    control.listed(ListForm::Whole, list);
+    Router { control, millis: 0, next: 0 }
+}
+
+impl Router {
+    /// Lets time pass in steps and gives what was done meanwhile.
+    fn wait(&mut self, millis: u64) -> Vec<Act> {
+        for _ in 0..millis {
+            self.millis += 1;
+            self.control.clock(Moment::at_micros(START + self.millis * 1000));
+            self.control.wake();
+        }
+        std::mem::take(&mut self.control.host().0)
+    }
+
+    /// Takes a view for an object, group 9, with so long to answer.
+    fn view_within(&mut self, offering: u16, object: u64, millis: u64) -> Vec<Act> {
+        let asked = Asked { object, part: 0, group: 9, offering, kb: None };
+        self.next += 1;
+        self.control.view(ViewNo(self.next), asked, Span::millis(millis));
+        self.wait(0)
+    }
+
+    fn view(&mut self, offering: u16, object: u64) -> Vec<Act> {
+        self.view_within(offering, object, 4000)
+    }
+
+    /// Ends a dispatch of the last view; a good end is the last.
+    fn end(&mut self, nth: u16, verdict: Verdict, note: Note, millis: u64) -> Vec<Act> {
+        self.end_of(self.next, nth, verdict, note, millis)
+    }
+
+    fn end_of(&mut self, view: u32, nth: u16, verdict: Verdict, note: Note, millis: u64) -> Vec<Act> {
+        let took = (Span::millis(millis), Span::ZERO);
+        self.control.answered(ViewNo(view), nth, (verdict, note), took, verdict == Verdict::Done);
+        self.wait(0)
+    }
+
+    /// A quiet while: so many views, ten milliseconds apart, each done at once by a hit or a fill.
+    fn quiet(&mut self, views: u64, note: Note, millis: u64) {
+        for object in 0..views {
+            self.view(0, object);
+            self.wait(10);
+            self.end(0, Verdict::Done, note, millis);
+        }
+    }
+}
+
+fn place(acts: &[Act]) -> (u32, u32) {
+    match acts {
+        [Act::Read { cache, source, .. }] => (*cache, *source),
+        other => panic!("one read expected, not {other:?}"),
+    }
+}
+
+#[test]
+fn views_for_one_object_meet_at_one_cache_and_one_parent_whatever_the_indices() {
+    let mut turned: Vec<Listed> = fleet().into_iter().rev().collect();
+    turned.iter_mut().zip(0..).for_each(|(line, no)| line.cache = CacheNo(no));
+    let (mut one, mut other) = (router(&fleet(), &[]), router(&turned, &[]));
+    let mut used = [0; 7];
+    for object in 0..50 {
+        let (cache, source) = place(&one.view(0, object));
+        assert_eq!(place(&other.view(0, object)), (6 - cache, 6 - source));
+        assert_eq!(place(&one.view(0, object)), (cache, source));
+        used[cache as usize] += 1;
+        one.end_of(one.next, 0, Verdict::Done, Note::Hit, 50);
+        one.end_of(one.next - 1, 0, Verdict::Done, Note::Hit, 50);
+        other.end(0, Verdict::Done, Note::Hit, 50);
+    }
+    assert!(used[..4].iter().all(|used| *used > 3), "{used:?}");
+    assert!(matches!(one.view(0, 5)[..], [Act::Read { join: true, rank: 1, .. }]));
+}
+
+#[test]
+fn what_runs_at_the_origin_goes_there_untouched_and_never_through_a_cache() {
+    let mut r = router(&fleet(), &[]);
+    assert_eq!(r.view(2, 1), [Act::Look(1, 6)]);
+    let mut r = router(&fleet(), &[("direct", 0.0)]);
+    assert!(matches!(r.view(2, 1)[..], [Act::Read { source: 6, join: false, rank: 0, .. }]));
+}
+
+#[test]
+fn a_once_only_view_goes_again_only_when_it_is_known_not_to_have_run() {
+    let mut r = router(&fleet(), &[]);
+    r.view(3, 1);
+    assert_eq!(r.end(0, Verdict::Full, Note::Untold, 1), [Act::Look(1, 6)]);
+    assert_eq!(r.end(1, Verdict::TimedOut, Note::Untold, 900), []);
+    assert_eq!(r.wait(300), [Act::WriteOff(1)]);
+}
+
+#[test]
+fn a_tagged_view_goes_again_only_within_its_window() {
+    let mut r = router(&fleet(), &[]);
+    r.view(2, 1);
+    r.end(0, Verdict::Broken, Note::Untold, 10);
+    assert_eq!(r.wait(100), [Act::Look(1, 6)]);
+    r.wait(2900);
+    r.end(1, Verdict::Broken, Note::Untold, 10);
+    assert_eq!(r.wait(100).len(), 1, "turned back, not sent");
+    r.view(2, 2);
+    assert_eq!(r.wait(3100), []);
+    r.end(0, Verdict::Broken, Note::Untold, 10);
+    assert!(matches!(r.wait(100)[..], [Act::TurnBack(2, _)]));
+}
+
+#[test]
+fn a_draining_or_gone_member_gets_nothing_more_as_cache_or_as_source() {
+    let mut r = router(&fleet(), &[]);
+    let (cache, source) = place(&r.view(0, 1));
+    let mut lines = fleet();
+    lines[cache as usize].standing = Standing::Draining;
+    lines[source as usize].standing = Standing::Gone;
+    let changed = [lines[cache as usize], lines[source as usize]];
+    r.control.listed(ListForm::Changes, &changed);
+    for object in 0..40 {
+        let (new_cache, new_source) = place(&r.view(0, object));
+        assert!(new_cache != cache && new_source != source);
+        r.end(0, Verdict::Done, Note::Hit, 30);
+    }
+    // The whole list without them says the same, and one without any cache leaves the parents.
+    r.control.listed(ListForm::Whole, &lines[4..]);
+    let (cache, _) = place(&r.view(0, 1));
+    assert!(cache >= 4);
+}
+
+#[test]
+fn after_a_purge_only_younger_copies_will_do() {
+    let mut r = router(&fleet(), &[]);
+    assert!(matches!(r.view(0, 1)[..], [Act::Read { oldest: None, .. }]));
+    r.control.purged(None, 9, Span::ZERO);
+    let least = Some(Span::micros(1)); // nothing would mean any age
+    assert!(matches!(&r.view(0, 1)[..], [Act::Read { oldest, .. }] if *oldest == least));
+    r.wait(700);
+    let since = Some(Span::millis(700));
+    assert!(matches!(&r.view(1, 2)[..], [Act::Read { oldest, .. }] if *oldest == since));
+    r.control.purged(Some(2), 9, Span::millis(100));
+    let newest = Some(Span::millis(100));
+    assert!(matches!(&r.view(0, 2)[..], [Act::Read { oldest, .. }] if *oldest == newest));
+}
+
+#[test]
+fn a_cold_branch_is_not_sent_more_than_it_bears_even_when_clients_repeat() {
+    let mut r = router(&fleet(), &[("direct", 0.0)]);
+    r.quiet(200, Note::Hit, 20); // 100 views a second of 20 ms: each cache does half a transfer a second
+    let cold: Vec<Listed> = (0..4).map(|no| line(no, 1000 + u64::from(no), 0, Some(r.millis))).collect();
+    r.control.listed(ListForm::Changes, &cold);
+    let mut sent = 0;
+    for object in 0..800 {
+        let acts = r.view(0, object);
+        sent += acts.iter().filter(|act| matches!(act, Act::Read { .. })).count();
+        if sent > 0 && matches!(acts[..], [Act::Read { .. }]) {
+            r.end(0, Verdict::Done, Note::Hit, 20);
+        }
+        r.wait(2);
+    }
+    // At most 0.29 of half a transfer, four times, times 2.5, in 2 s: 2.9 s of work or 140 views.
+    assert!((20..110).contains(&sent), "{sent} sent");
+}
+
+#[test]
+fn a_restarted_parent_takes_its_objects_back_one_by_one() {
+    let mut r = router(&fleet(), &[]);
+    r.quiet(200, Note::Filled, 20);
+    r.control.listed(ListForm::Changes, &[line(4, 1004, PARENT, Some(r.millis))]);
+    let at = |r: &mut Router| {
+        let taken = (0..100).filter(|object| {
+            let source = place(&r.view(0, *object)).1;
+            r.end(0, Verdict::Done, Note::Hit, 20);
+            source == 4
+        });
+        taken.count()
+    };
+    let early = at(&mut r);
+    r.wait(10_000);
+    let middle = at(&mut r);
+    r.wait(11_000);
+    let late = at(&mut r);
+    assert!(early < 15 && early < middle && middle < late && late > 35, "{early} {middle} {late}");
+}
+
+#[test]
+fn a_hung_cache_is_left_before_its_views_time_out() {
+    let mut r = router(&fleet(), &[]);
+    r.quiet(100, Note::Hit, 20);
+    let hung = place(&r.view(0, 1)).0;
+    let (mut called_off, mut late) = (0, 0);
+    for object in 0..150 {
+        let acts = r.view(0, object);
+        if matches!(acts[..], [Act::Read { cache, .. }] if cache != hung) {
+            r.end(0, Verdict::Done, Note::Hit, 20);
+        } else if r.millis > 2000 {
+            late += 1;
+        }
+        for act in r.wait(10) {
+            if let Act::CallOff(view, nth) = act {
+                called_off += 1;
+                let again = r.end_of(view, nth, Verdict::CalledOff, Note::Untold, 400);
+                assert_ne!(place(&again).0, hung);
+                r.end_of(view, nth + 1, Verdict::Done, Note::Hit, 20);
+            }
+        }
+    }
+    assert!(called_off > 3 && late < 4, "{called_off} called off, {late} sent to it later");
+}
+
+#[test]
+fn a_cache_that_fails_at_once_is_left_out_and_comes_back_by_trials() {
+    let mut r = router(&fleet(), &[]);
+    let bad = place(&r.view(0, 1)).0;
+    r.end(0, Verdict::Done, Note::Hit, 20);
+    let round = |r: &mut Router, failing: bool| {
+        let mut met = 0;
+        for object in 0..200 {
+            let acts = r.view(0, object);
+            let mut cache = place(&acts).0;
+            met += usize::from(cache == bad);
+            let mut nth = 0;
+            while cache == bad && failing {
+                r.end(nth, Verdict::Error, Note::Untold, 1);
+                cache = place(&r.wait(200)).0;
+                nth += 1;
+            }
+            r.end(nth, Verdict::Done, Note::Hit, 20);
+            r.wait(10);
+        }
+        met
+    };
+    let failing = round(&mut r, true);
+    assert!(failing < 12, "{failing} met the failing cache");
+    r.wait(8000);
+    let well = round(&mut r, false);
+    assert!(well > 30, "{well} met it when it was well again");
+}
+
+#[test]
+fn the_only_cache_left_is_used_however_it_does() {
+    let list: Vec<Listed> = fleet().into_iter().filter(|line| line.cache.0 == 0 || line.kind != 0).collect();
+    let list: Vec<Listed> =
+        list.into_iter().zip(0..).map(|(l, no)| Listed { cache: CacheNo(no), ..l }).collect();
+    let mut r = router(&list, &[("direct", 0.0)]);
+    for object in 0..30 {
+        assert_eq!(place(&r.view(0, object)).0, 0);
+        r.end(0, Verdict::Error, Note::Untold, 1);
+        let again = r.wait(60);
+        assert!(again.iter().all(|act| !matches!(act, Act::Read { cache, .. } if *cache != 0)));
+        r.control.left(ViewNo(r.next));
+    }
+}
+
+#[test]
+fn a_full_location_is_not_called_over_and_over() {
+    let mut r = router(&fleet(), &[]);
+    let first = place(&r.view(0, 1)).0;
+    assert_ne!(place(&r.end(0, Verdict::Full, Note::Untold, 1)).0, first);
+    let acts = r.end(1, Verdict::Full, Note::Untold, 1);
+    assert!(matches!(acts[..], [Act::TurnBack(1, Some(come_back))] if come_back <= Span::millis(500)));
+}
+
+#[test]
+fn a_failed_fill_goes_to_the_other_parent_and_its_waiters_spread_out() {
+    let mut r = router(&fleet(), &[]);
+    let (cache, source) = place(&r.view(0, 1));
+    (0..4).for_each(|_| drop(r.view(0, 1)));
+    for view in 1..=5 {
+        assert_eq!(r.end_of(view, 0, Verdict::Error, Note::SourceLost, 5), []);
+    }
+    let mut times = Vec::new();
+    for _ in 0..60 {
+        for act in r.wait(1) {
+            let Act::Read { cache: next, source: other, .. } = act else { continue };
+            assert!(next == cache && other != source && other != 6);
+            times.push(r.millis);
+        }
+    }
+    times.dedup();
+    assert!(times.len() > 2, "{times:?}");
+}
+
+#[test]
+fn while_fills_come_late_misses_are_turned_back_and_hits_are_served() {
+    let mut r = router(&fleet(), &[]);
+    r.quiet(100, Note::Hit, 20);
+    (100..160).for_each(|object| drop(r.view(0, object)));
+    r.wait(1500);
+    for view in 101..=160 {
+        r.end_of(view, 0, Verdict::Done, Note::Filled, 1500);
+    }
+    (200..260).for_each(|object| drop(r.view(0, object)));
+    let mut turned_back = 0;
+    for object in 300..310 {
+        let (cache, source) = place(&r.view(0, object));
+        assert_eq!(cache, source, "a look that fills nothing");
+        let acts = r.end(0, Verdict::Miss, Note::Untold, 2);
+        turned_back += usize::from(matches!(acts[..], [Act::TurnBack(..)]));
+    }
+    assert!(turned_back >= 8, "{turned_back} turned back");
+    place(&r.view(0, 999));
+    assert_eq!(r.end(0, Verdict::Done, Note::Hit, 20), []);
+}
+
+#[test]
+fn a_cache_whose_hits_come_late_gets_fewer_views() {
+    let mut r = router(&fleet(), &[]);
+    r.quiet(100, Note::Hit, 20);
+    let slow = place(&r.view(0, 1)).0;
+    let mut held = Vec::new();
+    for object in 0..400 {
+        let acts = r.view(0, object);
+        match acts[..] {
+            [Act::Read { cache, .. }] if cache == slow => held.push(r.next),
+            [Act::Read { .. }] => drop(r.end(0, Verdict::Done, Note::Hit, 20)),
+            _ => {}
+        }
+        r.wait(5);
+        if object % 8 == 0 && !held.is_empty() {
+            r.end_of(held.remove(0), 0, Verdict::Done, Note::Hit, 900);
+        }
+    }
+    assert!(held.len() < 20, "{} in hand", held.len());
+}
+
+#[test]
+fn a_view_is_answered_before_its_client_leaves_and_never_after() {
+    let mut r = router(&fleet(), &[("calling_off", 0.0)]);
+    r.view_within(0, 1, 800);
+    let acts = r.wait(799);
+    assert!(matches!(acts[..], [Act::TurnBack(1, _)]), "{acts:?}");
+    assert_eq!(r.end(0, Verdict::TimedOut, Note::Untold, 800), []);
+    assert_eq!(r.wait(3000), []);
+    // Too short a time to try anything is answered at once.
+    assert!(matches!(r.view_within(0, 1, 3)[..], [Act::TurnBack(2, _)]));
+}
+
+#[test]
+fn one_dispatch_is_out_at_a_time_until_the_one_called_off_has_ended() {
+    let mut r = router(&fleet(), &[]);
+    r.quiet(60, Note::Hit, 20);
+    (0..4).for_each(|_| drop(r.view(0, 1)));
+    let acts = r.wait(1500);
+    assert!(acts.iter().any(|act| matches!(act, Act::CallOff(..))));
+    assert!(!acts.iter().any(|act| matches!(act, Act::Read { .. })), "{acts:?}");
+}
