--- a/crates/benchlink/tests/frames.rs
+++ b/crates/benchlink/tests/frames.rs
@@ -91,7 +91,7 @@
         batch(10, &[spawn(3, SETTINGS), list(3, 1)]),
         [batch(20, &[]), batch(30, &[ingress(3, 500)])].concat(),
         batch(40, &[done(3, 500, 10), done(3, 500, 10), gone]),
-        batch(50, &[destroy, spawn(3, SETTINGS), list(3, 1), list(3, 1), purge, ingress(3, 501)]),
+        batch(5000, &[destroy, spawn(3, SETTINGS), list(3, 1), list(3, 1), purge, ingress(3, 501)]),
     ];
     let replies = replies(&run(&input.concat()));
     assert_eq!(replies.len(), 6);
