Limit only once slowness nears what the offering bears

Cause: the limits began at fixed slowness (1.5 for hits, 2.5 for fills), so fills came late below it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -478,25 +478,25 @@
     /// link is full, so the number at which it gets too slow follows from the mean slowness and the mean
     /// number. Answers overload, slow caches, parents and origins, full links and hot objects alike.
     /// Could harm where lateness has a cause that does not grow with what is in hand.
-    fn limit(&self, loads: &Samples<Load>, offering: u16, calm: f64) -> f64 {
+    fn limit(&self, loads: &Samples<Load>, offering: u16) -> f64 {
         let (mut work, mut took, mut held) = (0.0, 0.0, 0.0);
         for load in &loads.0 {
             work += load.work;
             took += load.took.as_secs();
             held += load.held * load.work;
         }
-        if loads.0.len() < 8 || took < work * calm {
+        let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
+        let goal = self.offerings[offering as usize].goal.as_secs();
+        let bearable = 0.6 * (stretch + goal / self.mean_work(offering).max(0.001));
+        if loads.0.len() < 8 || took < work * bearable * 0.9 {
             return f64::INFINITY;
         }
-        let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
-        let goal = self.offerings[offering as usize].goal;
-        let bearable = 0.6 * (stretch + goal.as_secs() / self.mean_work(offering).max(0.001));
         held / work * bearable / (took / work)
     }
 
     /// The fills in hand here over those that may be, so that one of the offering still comes in time.
     fn fill_crowd(&self, offering: u16) -> f64 {
-        self.fills_in_hand() / self.limit(&self.fill_loads, offering, 2.5).max(4.0)
+        self.fills_in_hand() / self.limit(&self.fill_loads, offering).max(4.0)
     }
 
     /// Fills in hand by estimate: of what fills as it comes, the part of the time that went to fills.
@@ -593,8 +593,7 @@
     /// Whether a view would come late from a cache with that much in hand.
     fn too_late(&self, cache: CacheNo, offering: u16) -> bool {
         let member = self.member(cache);
-        member.tier == Tier::Cache
-            && f64::from(member.out) >= self.limit(&member.loads, offering, 1.5).max(2.0)
+        member.tier == Tier::Cache && f64::from(member.out) >= self.limit(&member.loads, offering).max(2.0)
     }
 
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
@@ -873,12 +872,12 @@
             Filling::Surely => self.filling.1 -= 1.0,
             Filling::Not => {}
         }
+        let work = self.work(&asked);
         let by_fill = matches!(note, Note::Filled | Note::FilledByOrigin);
         if verdict == Verdict::Done && filling == Filling::AsItComes {
             self.filled.add((by_fill, took.0));
         }
         if by_fill || matches!(note, Note::SourceLost) || verdict == Verdict::TimedOut && !called_off {
-            let work = self.work(&asked);
             self.fill_loads.add(Load { held: fills, work, took: took.0 });
         }
         // A hit drew nothing from its source's budget.
@@ -887,7 +886,6 @@
             self.member_mut(source).drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
         }
         if matches!(note, Note::Hit | Note::OldCopy) {
-            let work = self.work(&asked);
             self.member_mut(cache).loads.add(Load { held: load, work, took: took.0 });
             if load <= 3.0 {
                 self.offerings[asked.offering as usize].easy.add(took.0);
