--- a/src/control.rs
+++ b/src/control.rs
@@ -93,6 +93,7 @@
     /// How many more like it were in hand here at the dispatch, with this one.
     held: f64,
     work: f64,
+    goal: f64,
     took: Span,
 }
 
@@ -294,10 +295,7 @@
             self.resubscribe = None;
             self.host.subscribe();
         }
-        while let Some(&Reverse((due, serial, no))) = self.alarms.peek() {
-            if due > self.now {
-                break;
-            }
+        while let Some(&Reverse((_, serial, no))) = self.alarms.peek().filter(|next| next.0.0 <= self.now) {
             self.alarms.pop();
             if self.held(no).is_some_and(|held| held.serial == serial && !held.finished) {
                 self.due(no);
@@ -408,10 +406,8 @@
         self.purge_order.push_back((self.now, key));
         // Memory stays bounded: once no older copy can be left anywhere, a purge is forgotten.
         let gone = self.span("copies_gone_after", Span::secs(60.0));
-        while let Some(&(told, key)) = self.purge_order.front() {
-            if self.now.since(told) <= gone {
-                break;
-            }
+        let now = self.now;
+        while let Some(&(_, key)) = self.purge_order.front().filter(|told| now.since(told.0) > gone) {
             self.purge_order.pop_front();
             if self.purges.get(&key).is_some_and(|at| self.now.since(*at) > gone) {
                 self.purges.remove(&key);
@@ -479,19 +475,26 @@
     /// number. Answers overload, slow caches, parents and origins, full links and hot objects alike.
     /// Could harm where lateness has a cause that does not grow with what is in hand.
     fn limit(&self, loads: &Samples<Load>, offering: u16) -> f64 {
-        let (mut work, mut took, mut held) = (0.0, 0.0, 0.0);
+        let (mut work, mut took, mut held, mut goal) = (0.0, 0.0, 0.0, 0.0);
         for load in &loads.0 {
             work += load.work;
             took += load.took.as_secs();
             held += load.held * load.work;
+            goal += load.goal;
         }
-        let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
-        let goal = self.offerings[offering as usize].goal.as_secs();
-        let bearable = 0.6 * (stretch + goal / self.mean_work(offering).max(0.001));
-        if loads.0.len() < 8 || took < work * bearable * 0.9 {
+        // Each answer is held against its own goal, so a small one with a long way does not count as slow.
+        if loads.0.len() < 8 || took < goal * 0.5 * 0.9 {
             return f64::INFINITY;
         }
-        held / work * bearable / (took / work)
+        let mean = self.mean_work(offering).max(0.001);
+        let room = (self.goal(offering, mean) / mean) / (goal / work);
+        held / work * (0.5 * goal / took) * room.max(1.0)
+    }
+
+    /// The time in which an answer of so much work is in time.
+    fn goal(&self, offering: u16, work: f64) -> f64 {
+        let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
+        self.offerings[offering as usize].goal.as_secs() + stretch * work
     }
 
     /// The fills in hand here over those that may be, so that one of the offering still comes in time.
@@ -873,12 +876,13 @@
             Filling::Not => {}
         }
         let work = self.work(&asked);
+        let goal = self.goal(asked.offering, work);
         let by_fill = matches!(note, Note::Filled | Note::FilledByOrigin);
         if verdict == Verdict::Done && filling == Filling::AsItComes {
             self.filled.add((by_fill, took.0));
         }
         if by_fill || matches!(note, Note::SourceLost) || verdict == Verdict::TimedOut && !called_off {
-            self.fill_loads.add(Load { held: fills, work, took: took.0 });
+            self.fill_loads.add(Load { held: fills, work, goal, took: took.0 });
         }
         // A hit drew nothing from its source's budget.
         let hit = matches!(note, Note::Hit | Note::Joined | Note::OldCopy);
@@ -886,7 +890,7 @@
             self.member_mut(source).drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
         }
         if matches!(note, Note::Hit | Note::OldCopy) {
-            self.member_mut(cache).loads.add(Load { held: load, work, took: took.0 });
+            self.member_mut(cache).loads.add(Load { held: load, work, goal, took: took.0 });
             if load <= 3.0 {
                 self.offerings[asked.offering as usize].easy.add(took.0);
             }
