Count first tries for a cold member's capacity where a router has just started

It came back with no samples, so it sent each cold cache one view in 3 s and turned back a quarter of all views.

--- a/src/control.rs
+++ b/src/control.rs
@@ -23,7 +23,7 @@
 //!     ("drain_grace", 5e5), ("location", 1.0)];
 //! let facts = facts.map(|(name, value)| (name.to_string(), Fact::Number(value))).into();
 //! let mut control = Control::start(Printer, facts, 7, Moment::at_micros(0)).unwrap();
-//! let asked = Asked { object: 5, part: 0, group: 0, offering: 0, kb: None };
+//! let asked = Asked { object: 5, part: 0, group: 0, offering: 0, kb: None, repeat: false };
 //! control.view(ViewNo(0), asked, Span::millis(900)); // no cache is listed: turned back
 //! ```
 
@@ -124,6 +124,7 @@
 }
 
 /// One dispatch made for a view.
+#[derive(Clone, Copy)]
 struct Dispatch {
     cache: CacheNo,
     source: Option<CacheNo>,
@@ -185,13 +186,15 @@
     /// When warm caches of the location served which offering, and when warm parents gave a fill.
     served: Samples<(Moment, u16)>,
     fills: Samples<(Moment, u16)>,
+    /// First tries that came in.
+    asked: Samples<(Moment, u16)>,
     sends: Samples<bool>,
     /// The last fills.
     fill_loads: Samples<Load>,
     /// Answers of dispatches that fill as it comes: whether they did, and how long they took.
     filled: Samples<(bool, Span)>,
-    /// Dispatches out that fill as it comes, and those that surely do.
-    filling: (f64, f64),
+    /// How many dispatches are out, by their filling.
+    filling: [f64; 3],
 }
 
 /// Mixes stable ids into an even 64 bits.
@@ -227,10 +230,11 @@
             resubscribe: None,
             served: Samples::last(256),
             fills: Samples::last(128),
+            asked: Samples::last(128),
             sends: Samples::last(64),
             fill_loads: Samples::last(40),
             filled: Samples::last(64),
-            filling: (0.0, 0.0),
+            filling: [0.0; 3],
         };
         ["location", "drain_grace"].into_iter().try_for_each(|name| control.need(name).map(drop))?;
         for i in 0..control.need("offerings")? as usize {
@@ -434,6 +438,9 @@
             self.views.resize_with(no.0 as usize + 1, || None);
         }
         self.views[no.0 as usize] = Some(held);
+        if !asked.repeat {
+            self.asked.add((self.now, asked.offering));
+        }
         self.alarm(end, no);
         self.route(no);
     }
@@ -508,7 +515,8 @@
             let counted = self.filled.0.iter().filter(|filled| filled.0 || !only);
             counted.map(|filled| filled.1.as_secs()).sum::<f64>()
         };
-        self.filling.1 + self.filling.0 * took(true) / took(false).max(0.001)
+        self.filling[Filling::Surely as usize]
+            + self.filling[Filling::AsItComes as usize] * took(true) / took(false).max(0.001)
     }
 
     /// Members of one tier in the order of the weighted rendezvous hash, best first.
@@ -551,23 +559,25 @@
     /// of a sliding window is what it surely has, times the multiple that it bears, times the window.
     /// Its capacity is put low: what warm members lately did for this router, shared over all ever listed
     /// beside it. As every router counts only what was done for itself, their budgets add up to one. What
-    /// was asked for does not count: after a loss it swells with the clients' repeats.
+    /// was asked for counts in part, for a router that has only just started, and without the clients'
+    /// repeats, with which it swells after a loss.
     fn bears(&self, member: &Member, work: f64) -> bool {
         let warmth = self.warmth(member);
         if warmth >= 1.0 {
             return true;
         }
+        let asked = self.pace(&self.asked);
         let (multiple, flow) = match member.tier {
-            Tier::Parent => (self.fact("parent_multiple", 1.0), self.pace(&self.fills)),
-            _ => (self.fact("cold_multiple", 1.0), self.pace(&self.served)),
+            Tier::Parent => ("parent_multiple", self.pace(&self.fills).max(asked * 0.05)),
+            _ => ("cold_multiple", self.pace(&self.served).max(asked * 0.5)),
         };
-        let capacity = flow * f64::from(member.listed.size) / self.size(member.tier);
+        let bears = self.fact(multiple, 1.0) * flow * f64::from(member.listed.size) / self.size(member.tier);
         let window = self.span("cold_window", Span::secs(1.0));
         let spent: f64 = (member.drawn.iter())
             .filter(|drawn| self.now.since(drawn.0) <= window)
             .map(|drawn| drawn.1)
             .sum();
-        spent == 0.0 || spent + work <= warmth * multiple * capacity * window.as_secs() * 0.7
+        spent == 0.0 || spent + work <= warmth * bears * window.as_secs() * 0.7
     }
 
     /// How little a member suits a view: 0 is an ordinary one; among equals the hash order decides.
@@ -739,11 +749,7 @@
         }
         member.out += 1;
         let load = f64::from(member.out);
-        match filling {
-            Filling::AsItComes => self.filling.0 += 1.0,
-            Filling::Surely => self.filling.1 += 1.0,
-            Filling::Not => {}
-        }
+        self.filling[filling as usize] += 1.0;
         let fills = self.fills_in_hand();
         self.sends.add(retry);
         if let Some(held) = self.held_mut(no) {
@@ -853,36 +859,30 @@
     }
 
     /// A dispatch ended; `last` says that the view is finished.
-    pub fn answered(&mut self, no: ViewNo, nth: u16, end: (Verdict, Note), took: (Span, Span), last: bool) {
+    pub fn answered(&mut self, no: ViewNo, nth: u16, end: (Verdict, Note), took: Span, last: bool) {
         let now = self.now;
         let (verdict, note) = end;
         let Some(held) = self.held_mut(no) else { return };
-        let serial = held.serial;
-        let asked = held.asked;
+        let (serial, asked) = (held.serial, held.asked);
         let open = held.dispatches.get_mut(nth as usize).filter(|d| d.end.is_none());
         let Some(dispatch) = open else { return };
         dispatch.end = Some(end);
-        let (cache, source, called_off) = (dispatch.cache, dispatch.source, dispatch.called_off);
-        let (load, filling, fills) = (dispatch.load, dispatch.filling, dispatch.fills);
+        let Dispatch { cache, source, called_off, load, filling, fills, .. } = *dispatch;
         let member = self.member_mut(cache);
         member.out = member.out.saturating_sub(1);
         if verdict != Verdict::CalledOff && verdict != Verdict::TimedOut {
             member.gaps.add(now.since(member.heard.max(member.waiting_since)));
             member.heard = now;
         }
-        match filling {
-            Filling::AsItComes => self.filling.0 -= 1.0,
-            Filling::Surely => self.filling.1 -= 1.0,
-            Filling::Not => {}
-        }
+        self.filling[filling as usize] -= 1.0;
         let work = self.work(&asked);
         let goal = self.goal(asked.offering, work);
         let by_fill = matches!(note, Note::Filled | Note::FilledByOrigin);
         if verdict == Verdict::Done && filling == Filling::AsItComes {
-            self.filled.add((by_fill, took.0));
+            self.filled.add((by_fill, took));
         }
         if by_fill || matches!(note, Note::SourceLost) || verdict == Verdict::TimedOut && !called_off {
-            self.fill_loads.add(Load { held: fills, work, goal, took: took.0 });
+            self.fill_loads.add(Load { held: fills, work, goal, took });
         }
         // A hit drew nothing from its source's budget.
         let hit = matches!(note, Note::Hit | Note::Joined | Note::OldCopy);
@@ -890,9 +890,9 @@
             self.member_mut(source).drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
         }
         if matches!(note, Note::Hit | Note::OldCopy) {
-            self.member_mut(cache).loads.add(Load { held: load, work, goal, took: took.0 });
+            self.member_mut(cache).loads.add(Load { held: load, work, goal, took });
             if load <= 3.0 {
-                self.offerings[asked.offering as usize].easy.add(took.0);
+                self.offerings[asked.offering as usize].easy.add(took);
             }
         }
         if !called_off {
@@ -945,9 +945,6 @@
         let retries = self.sends.0.iter().filter(|retry| **retry).count();
         let shaken = self.chance.random_range(0.0..1.0);
         let Some(held) = self.held(no) else { return };
-        if held.open().count() > 0 {
-            return;
-        }
         let full = |d: &&Dispatch| d.end.is_some_and(|end| end.0 == Verdict::Full);
         let fulls = held.dispatches.iter().filter(full).count();
         let nth = held.dispatches.len() as f64;
--- a/src/host.rs
+++ b/src/host.rs
@@ -33,6 +33,8 @@
     pub offering: u16,
     /// The size, where it is told.
     pub kb: Option<f32>,
+    /// Marked as a client's further try, where clients mark these.
+    pub repeat: bool,
 }
 
 /// One line of the list of caches.
