Where just the origin's fills come late, fill only what the parent holds

Fills by the origin now have their own limit. Covers a slow, crowded or stopped origin and purge herds; where notes do not tell the two apart it does not act.

--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -27,6 +27,7 @@
     ("/family_info/parent_breaks_at", "parent_multiple"),
     ("/family_info/gone_everywhere", "copies_gone_after"),
     ("/family_info/heed_within", "purge_grace"),
+    ("/family_info/note_level", "notes"),
 ];
 
 /// The same for the settings of one offering.
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -249,7 +249,7 @@
     fn read(&mut self, view: ViewNo, cache: CacheNo, wait: Span, terms: Terms) {
         self.tickets[view.0 as usize].out += 1;
         let oldest = terms.oldest.map_or([0; 4], some);
-        let how = u8::from(terms.join) + 8 * u8::from(terms.renew);
+        let how = u8::from(terms.join) + 2 * u8::from(terms.only_held) + 8 * u8::from(terms.renew);
         let (ticket, cache, source) = (self.ticket(view), self.address(cache), self.address(terms.source));
         self.act(READ_THROUGH, &[&ticket, &cache, &oldest, &source, &[how], &some(wait), &[terms.rank]]);
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -38,24 +38,6 @@
 };
 use crate::time::{Moment, Span};
 
-/// What may happen to a view that may have run already.
-#[derive(Clone, Copy, PartialEq)]
-enum Effect {
-    Repeatable,
-    Tagged,
-    OnceOnly,
-}
-
-struct Offering {
-    effect: Effect,
-    runs_at_origin: bool,
-    goal: Span,
-    fresh: Span,
-    older_by: Span,
-    /// Hits of caches that had little else in hand: what sending takes by itself.
-    easy: Samples<Span>,
-}
-
 /// The last few of something measured.
 struct Samples<T>(VecDeque<T>, usize);
 
@@ -105,7 +87,7 @@
     signs: Samples<bool>,
     loads: Samples<Load>,
     out: u32,
-    waiting_since: Moment,
+    /// When it last answered, or last got a view with none in hand.
     heard: Moment,
     gaps: Samples<Span>,
     /// Set while it is left out for what it did; a few trial views go to it after that moment.
@@ -115,11 +97,13 @@
     drawn: VecDeque<(Moment, f64, u64, u16)>,
 }
 
-/// Whether a dispatch fills a miss: as it comes, not at all, or surely, as one not filled was a miss.
+/// Whether a dispatch fills a miss: as it comes, not at all, only from what its source holds, or surely,
+/// as one of those two was a miss.
 #[derive(Clone, Copy, PartialEq)]
 enum Filling {
     AsItComes,
     Not,
+    IfHeld,
     Surely,
 }
 
@@ -132,12 +116,18 @@
     /// What the cache had in hand from here then, this one counted.
     load: f64,
     filling: Filling,
-    /// Fills in hand here then, by estimate.
-    fills: f64,
+    /// Fills in hand here then, by estimate: all, and those by the origin.
+    fills: [f64; 2],
     called_off: bool,
     end: Option<(Verdict, Note)>,
 }
 
+impl Dispatch {
+    fn fills_misses(&self) -> bool {
+        matches!(self.filling, Filling::AsItComes | Filling::Surely)
+    }
+}
+
 /// A view in hand.
 struct Held {
     serial: u64,
@@ -174,27 +164,28 @@
     facts: Facts,
     now: Moment,
     chance: Pcg64Mcg,
-    offerings: Vec<Offering>,
+    /// By offering, hits of caches that had little else in hand: what sending takes by itself.
+    easy: Vec<Samples<Span>>,
     members: Vec<Member>,
     views: Vec<Option<Held>>,
     serial: u64,
     purges: HashMap<(bool, u64), Moment>,
     purge_order: VecDeque<(Moment, (bool, u64))>,
+    /// When, for which view's serial and number; serial 0 asks for the list again.
     alarms: BinaryHeap<Reverse<(Moment, u64, ViewNo)>>,
     next_wake: Option<Moment>,
-    resubscribe: Option<Moment>,
     /// When warm caches of the location served which offering, and when warm parents gave a fill.
     served: Samples<(Moment, u16)>,
     fills: Samples<(Moment, u16)>,
     /// First tries that came in.
     asked: Samples<(Moment, u16)>,
     sends: Samples<bool>,
-    /// The last fills.
-    fill_loads: Samples<Load>,
-    /// Answers of dispatches that fill as it comes: whether they did, and how long they took.
-    filled: Samples<(bool, Span)>,
+    /// The last fills from what a source held, and by way of the origin.
+    fill_loads: [Samples<Load>; 2],
+    /// Answers of dispatches that fill as it comes: by hit (0), source (1) or origin (2), and their time.
+    filled: Samples<(usize, Span)>,
     /// How many dispatches are out, by their filling.
-    filling: [f64; 3],
+    filling: [f64; 4],
 }
 
 /// Mixes stable ids into an even 64 bits.
@@ -219,7 +210,7 @@
             facts,
             now,
             chance: Pcg64Mcg::seed_from_u64(seed),
-            offerings: Vec::new(),
+            easy: Vec::new(),
             members: Vec::new(),
             views: Vec::new(),
             serial: 0,
@@ -227,32 +218,19 @@
             purge_order: VecDeque::new(),
             alarms: BinaryHeap::new(),
             next_wake: None,
-            resubscribe: None,
             served: Samples::last(256),
             fills: Samples::last(128),
             asked: Samples::last(128),
             sends: Samples::last(64),
-            fill_loads: Samples::last(40),
+            fill_loads: [Samples::last(40), Samples::last(40)],
             filled: Samples::last(64),
-            filling: [0.0; 3],
+            filling: [0.0; 4],
         };
         ["location", "drain_grace"].into_iter().try_for_each(|name| control.need(name).map(drop))?;
         for i in 0..control.need("offerings")? as usize {
             control.need(&format!("offering.{i}.cut_off"))?;
-            let fact = |what: &str| control.fact(&format!("offering.{i}.{what}"), 0.0);
-            let offering = Offering {
-                effect: match control.word(&format!("offering.{i}.effect")) {
-                    "repeatable" | "" => Effect::Repeatable,
-                    "tagged" => Effect::Tagged,
-                    _ => Effect::OnceOnly,
-                },
-                runs_at_origin: fact("runs_at_origin") > 0.0,
-                goal: Span::micros(control.need(&format!("offering.{i}.latency_goal"))? as u64),
-                fresh: Span::micros(fact("fresh") as u64),
-                older_by: Span::micros(fact("older_by") as u64),
-                easy: Samples::last(64),
-            };
-            control.offerings.push(offering);
+            control.need(&format!("offering.{i}.latency_goal"))?;
+            control.easy.push(Samples::last(64));
         }
         if control.fact("list_on_request", 0.0) > 0.0 {
             control.host.subscribe();
@@ -275,6 +253,19 @@
         self.need(name).map_or(default, |micros| Span::micros(micros as u64))
     }
 
+    /// A fact of an offering; nothing where it is not set.
+    fn of(&self, offering: u16, what: &str) -> f64 {
+        self.fact(&format!("offering.{offering}.{what}"), 0.0)
+    }
+
+    fn span_of(&self, offering: u16, what: &str) -> Span {
+        Span::micros(self.of(offering, what) as u64)
+    }
+
+    fn is_repeatable(&self, offering: u16) -> bool {
+        self.word(&format!("offering.{offering}.effect")) == "repeatable"
+    }
+
     fn word(&self, name: &str) -> &str {
         match self.facts.get(name) {
             Some(Fact::Word(word)) => word,
@@ -295,12 +286,11 @@
     /// The time asked for by `wake_in` has passed.
     pub fn wake(&mut self) {
         self.next_wake = None;
-        if self.resubscribe.is_some_and(|due| due <= self.now) {
-            self.resubscribe = None;
-            self.host.subscribe();
-        }
         while let Some(&Reverse((_, serial, no))) = self.alarms.peek().filter(|next| next.0.0 <= self.now) {
             self.alarms.pop();
+            if serial == 0 {
+                self.host.subscribe();
+            }
             if self.held(no).is_some_and(|held| held.serial == serial && !held.finished) {
                 self.due(no);
             }
@@ -315,8 +305,7 @@
     }
 
     fn plan_wake(&mut self) {
-        let first = self.alarms.peek().map(|Reverse(alarm)| alarm.0);
-        let Some(due) = first.into_iter().chain(self.resubscribe).min() else { return };
+        let Some(&Reverse((due, _, _))) = self.alarms.peek() else { return };
         if self.next_wake.is_none_or(|planned| due < planned) {
             self.next_wake = Some(due);
             self.host.wake_in(due.since(self.now));
@@ -352,8 +341,7 @@
     pub fn listed(&mut self, form: ListForm, lines: &[Listed]) {
         if form == ListForm::Failed {
             let pause = Span::secs(self.chance.random_range(0.5..1.5));
-            self.resubscribe = Some(self.now + pause);
-            self.plan_wake();
+            self.alarm(self.now + pause, ViewNo(u32::MAX));
         }
         if form == ListForm::Whole {
             for member in &mut self.members {
@@ -385,7 +373,6 @@
                         signs: Samples::last(16),
                         loads: Samples::last(40),
                         out,
-                        waiting_since: self.now,
                         heard: self.now,
                         gaps: Samples::last(16),
                         out_until: None,
@@ -421,7 +408,7 @@
 
     /// A view was taken; its client waits for so long.
     pub fn view(&mut self, no: ViewNo, asked: Asked, left: Span) {
-        if usize::from(asked.offering) >= self.offerings.len() {
+        if usize::from(asked.offering) >= self.easy.len() {
             return self.host.write_off(no);
         }
         self.serial += 1;
@@ -459,19 +446,17 @@
 
     /// What a view will cost in sending time: by its size where that is told, else by its offering's hits.
     fn work(&self, asked: &Asked) -> f64 {
-        let told = asked.kb.filter(|kb| *kb > 0.0).zip(self.need("client_kb_per_s").ok());
-        if let Some((kb, pace)) = told.filter(|told| told.1 > 0.0) {
-            return f64::from(kb) / pace;
+        match (asked.kb, self.need("client_kb_per_s")) {
+            (Some(kb), Ok(pace)) if pace > 0.0 => f64::from(kb) / pace,
+            _ => self.mean_work(asked.offering),
         }
-        self.mean_work(asked.offering)
     }
 
     /// The mean sending time of an offering, as its easy hits show it; before there are any, its goal.
     fn mean_work(&self, offering: u16) -> f64 {
-        let offering = &self.offerings[offering as usize];
-        let easy = &offering.easy.0;
+        let easy = &self.easy[offering as usize].0;
         if easy.len() < 4 {
-            return offering.goal.as_secs();
+            return self.span_of(offering, "latency_goal").as_secs();
         }
         easy.iter().map(|took| took.as_secs()).sum::<f64>() / easy.len() as f64
     }
@@ -500,23 +485,24 @@
 
     /// The time in which an answer of so much work is in time.
     fn goal(&self, offering: u16, work: f64) -> f64 {
-        let stretch = self.fact(&format!("offering.{offering}.goal_stretch"), 0.0);
-        self.offerings[offering as usize].goal.as_secs() + stretch * work
+        self.span_of(offering, "latency_goal").as_secs() + self.of(offering, "goal_stretch") * work
     }
 
-    /// The fills in hand here over those that may be, so that one of the offering still comes in time.
-    fn fill_crowd(&self, offering: u16) -> f64 {
-        self.fills_in_hand() / self.limit(&self.fill_loads, offering).max(4.0)
+    /// The fills in hand here over those that may be, so that one of the offering still comes in time: all
+    /// (0), or those by the origin (1).
+    fn fill_crowd(&self, offering: u16, far: usize) -> f64 {
+        self.fills_in_hand(far) / self.limit(&self.fill_loads[far], offering).max(4.0)
     }
 
     /// Fills in hand by estimate: of what fills as it comes, the part of the time that went to fills.
-    fn fills_in_hand(&self) -> f64 {
-        let took = |only: bool| {
-            let counted = self.filled.0.iter().filter(|filled| filled.0 || !only);
+    fn fills_in_hand(&self, far: usize) -> f64 {
+        let took = |least: usize| {
+            let counted = self.filled.0.iter().filter(|filled| filled.0 >= least);
             counted.map(|filled| filled.1.as_secs()).sum::<f64>()
         };
-        self.filling[Filling::Surely as usize]
-            + self.filling[Filling::AsItComes as usize] * took(true) / took(false).max(0.001)
+        let [as_it_comes, _, if_held, surely] = self.filling;
+        let held = if far == 0 { if_held } else { 0.0 };
+        surely + held + as_it_comes * took(1 + far) / took(0).max(0.001)
     }
 
     /// Members of one tier in the order of the weighted rendezvous hash, best first.
@@ -613,7 +599,7 @@
     fn route(&mut self, no: ViewNo) {
         let Some(held) = self.held(no) else { return };
         let asked = held.asked;
-        let through = self.offerings[asked.offering as usize].runs_at_origin;
+        let through = self.of(asked.offering, "runs_at_origin") > 0.0;
         let direct = self.fact("direct", 0.0) > 0.0;
         let hash = mix(asked.object, u64::from(asked.part));
         let origin = self.order(hash, Tier::Origin).first().copied();
@@ -623,10 +609,10 @@
         }
         let tried = |cache: &CacheNo| {
             let by_source = |d: &Dispatch| d.source.is_some_and(|source| held.failed_at(source));
-            let spent = |d: &Dispatch| d.cache == *cache && d.filling != Filling::Not && !by_source(d);
+            let spent = |d: &Dispatch| d.cache == *cache && d.fills_misses() && !by_source(d);
             held.dispatches.iter().any(spent)
         };
-        let missed = held.dispatches.last().is_some_and(|d| d.filling == Filling::Not);
+        let missed = held.dispatches.last().filter(|d| !d.fills_misses()).map(|d| d.filling);
         let work = self.mean_work(asked.offering);
         let bearable = |cache: &CacheNo| self.bears(self.member(*cache), work);
         let mut source = (self.order(hash, Tier::Parent).into_iter().filter(bearable))
@@ -642,18 +628,21 @@
             // No cache of the location can take it: the parent answers by itself.
             cache = source;
         }
-        // While fills come late, a view is first sent without one: hits and joins are served as ever, and
-        // only what surely misses is turned back. Guards the location's link, the parents and the origin
-        // from more fills than come in time, whatever made them late. Acts at four fifths of the limit.
-        let crowd = self.fill_crowd(asked.offering);
-        let filling = match cache {
+        // While fills come late, a view is first sent without one, or with only what the parent holds where
+        // just the origin's come late: hits and joins are served as ever, and what surely misses is filled
+        // within the limit or turned back. Guards the location's link, the parents and the origin from more
+        // fills than come in time, whatever made them late. Acts at four fifths of the limit.
+        let [near, far] = [0, 1].map(|far| self.fill_crowd(asked.offering, far));
+        let filling = match (cache, missed) {
             _ if plain || through || cache == source => Filling::AsItComes,
-            _ if missed => Filling::Surely,
-            _ if crowd > 0.8 => Filling::Not,
-            _ => Filling::AsItComes,
+            (_, Some(_)) if near >= 1.0 => return self.give_up(no),
+            (_, Some(Filling::IfHeld)) if far >= 1.0 => return self.give_up(no),
+            (_, None) if near > 0.8 => Filling::Not,
+            (_, None | Some(Filling::Not)) if far > 0.8 => Filling::IfHeld,
+            (_, None) => Filling::AsItComes,
+            _ => Filling::Surely,
         };
         match cache {
-            _ if filling == Filling::Surely && crowd >= 1.0 => self.give_up(no),
             Some(cache) if !self.too_late(cache, asked.offering) => {
                 let source = if filling == Filling::Not { Some(cache) } else { source };
                 self.send(no, cache, source, filling)
@@ -667,31 +656,30 @@
         let second_copies = self.fact("second_copies", 0.0) > 0.0;
         let most = self.fact("most_dispatches", 1.0) as usize;
         let Some(held) = self.held(no) else { return };
-        let offering = &self.offerings[held.asked.offering as usize];
+        let offering = held.asked.offering;
         // Rule 1: nothing after the final answer, and time must be left for one.
         let left = held.end.since(self.now);
         if held.finished {
             return;
         }
         // Rule 2: what may have run goes again only where a repeat does no harm.
-        let group = self.word(&format!("offering.{}.group", held.asked.offering));
+        let word = |what: &str| self.word(&format!("offering.{offering}.{what}"));
         let place = |cache: CacheNo| (self.member(cache).listed.location, self.member(cache).listed.cell);
-        let window = self.span(&format!("offering.{}.window", held.asked.offering), Span::ZERO);
-        let harmless = match (offering.effect, held.ran()) {
-            (Effect::Repeatable, _) | (_, None) => true,
-            (Effect::OnceOnly, Some(_)) => false,
-            (Effect::Tagged, Some((since, first))) => {
-                let same = match (group, place(first), place(cache)) {
+        let harmless = match (word("effect"), held.ran()) {
+            ("repeatable", _) | (_, None) => true,
+            ("tagged", Some((since, first))) => {
+                let same = match (word("group"), place(first), place(cache)) {
                     ("all", _, _) => true,
                     ("location", a, b) => a.0 == b.0,
                     ("cell", a, b) => a == b,
                     _ => false,
                 };
-                same && self.now.since(since) + Span::millis(20) < window
+                same && self.now.since(since) + Span::millis(20) < self.span_of(offering, "window")
             }
+            _ => false,
         };
         let open = held.open().count();
-        let alone = open == 0 || (second_copies && open == 1 && offering.effect == Effect::Repeatable);
+        let alone = open == 0 || (second_copies && open == 1 && self.is_repeatable(offering));
         // Rule 3: a cache that drains or is gone gets nothing, be it as cache or as source.
         let ready = |no: CacheNo| self.member(no).listed.standing == Standing::Ready;
         let both_ready = ready(cache) && source.is_none_or(ready);
@@ -712,23 +700,28 @@
         let purge = [(true, held.asked.object), (false, u64::from(held.asked.group))];
         let purged = purge.iter().filter_map(|key| self.purges.get(key)).max();
         let since_purge = purged.map(|at| self.now.since(*at).max(Span::micros(1)));
-        let retry = held.dispatches.iter().any(|d| d.filling != Filling::Not);
-        // A copy past its fresh time earns less; it is taken when the first dispatch has failed.
-        let limit = match (offering.fresh, retry) {
+        let retry = held.dispatches.iter().any(Dispatch::fills_misses);
+        // A copy past its fresh time earns less; it is taken when a dispatch has failed or fills come late.
+        let fresh = self.span_of(offering, "fresh");
+        let limit = match (fresh, retry || filling != Filling::AsItComes) {
             (Span::ZERO, _) => None,
             (fresh, false) => since_purge.map(|_| fresh),
-            (fresh, true) => Some(fresh + offering.older_by),
+            (fresh, true) => Some(fresh + self.span_of(offering, "older_by")),
         };
         let oldest = limit.into_iter().chain(since_purge).min();
-        let keep = !offering.runs_at_origin;
-        let renew = keep && offering.fresh > Span::ZERO && source.is_some_and(|s| self.is_warm(s));
+        let keep = self.of(offering, "runs_at_origin") == 0.0;
+        let renew = keep
+            && fresh > Span::ZERO
+            && filling == Filling::AsItComes
+            && source.is_some_and(|s| self.is_warm(s));
         let wait = self.patience(held, left);
         let check = self.hush(cache);
         let serial = held.serial;
         let (view_end, nth) = (held.end, held.dispatches.len() as u16);
         match source {
             Some(source) => {
-                let terms = Terms { source, oldest, join: keep, renew, rank: u8::from(keep) };
+                let only_held = filling == Filling::IfHeld;
+                let terms = Terms { source, oldest, join: keep, only_held, renew, rank: u8::from(keep) };
                 self.host.read(no, cache, wait, terms)
             }
             None => self.host.look(no, cache, wait),
@@ -745,12 +738,12 @@
         }
         let member = self.member_mut(cache);
         if member.out == 0 {
-            member.waiting_since = now;
+            member.heard = now;
         }
         member.out += 1;
         let load = f64::from(member.out);
         self.filling[filling as usize] += 1.0;
-        let fills = self.fills_in_hand();
+        let fills = [0, 1].map(|far| self.fills_in_hand(far));
         self.sends.add(retry);
         if let Some(held) = self.held_mut(no) {
             let (sent, called_off, end) = (now, false, None);
@@ -764,7 +757,7 @@
     /// How long one dispatch may take: well beyond what its offering's answers took lately.
     fn patience(&self, held: &Held, left: Span) -> Span {
         let usual = self.filled.quantile(0.95, |filled| filled.1).unwrap_or(left);
-        let cut_off = self.span(&format!("offering.{}.cut_off", held.asked.offering), left);
+        let cut_off = self.span_of(held.asked.offering, "cut_off");
         (usual * 3.0).max(cut_off * 0.5).min(left)
     }
 
@@ -787,12 +780,12 @@
         let cache = held.dispatches[nth].cache;
         let hush = self.hush(cache);
         let member = self.member(cache);
-        let silent = self.now.since(member.heard.max(member.waiting_since));
+        let silent = self.now.since(member.heard);
         let over = self.now.since(held.dispatches[nth].sent) >= hush;
         // A cache that takes views and answers none: it is left before its views' time-outs. Guards
         // against hangs, long pauses and lost answers; harms where a few huge objects are all it holds.
         let alternative = self.order(0, Tier::Cache).len() > 1;
-        let repeatable = self.offerings[held.asked.offering as usize].effect == Effect::Repeatable;
+        let repeatable = self.is_repeatable(held.asked.offering);
         let hung = over && silent >= hush && member.out >= 3 && alternative && repeatable;
         if hung && self.fact("calling_off", 0.0) > 0.0 {
             self.leave_out(cache);
@@ -871,18 +864,25 @@
         let member = self.member_mut(cache);
         member.out = member.out.saturating_sub(1);
         if verdict != Verdict::CalledOff && verdict != Verdict::TimedOut {
-            member.gaps.add(now.since(member.heard.max(member.waiting_since)));
+            member.gaps.add(now.since(member.heard));
             member.heard = now;
         }
         self.filling[filling as usize] -= 1.0;
         let work = self.work(&asked);
         let goal = self.goal(asked.offering, work);
-        let by_fill = matches!(note, Note::Filled | Note::FilledByOrigin);
+        // Where all is told, a time-out is the origin's: a full link shows in the other fills as well.
+        let late = verdict == Verdict::TimedOut && !called_off || note == Note::SourceLost;
+        let way = match note {
+            Note::Filled => 1,
+            Note::FilledByOrigin | Note::OriginFailed => 2,
+            _ if late => 1 + usize::from(self.word("notes") == "all"),
+            _ => 0,
+        };
         if verdict == Verdict::Done && filling == Filling::AsItComes {
-            self.filled.add((by_fill, took));
+            self.filled.add((way, took));
         }
-        if by_fill || matches!(note, Note::SourceLost) || verdict == Verdict::TimedOut && !called_off {
-            self.fill_loads.add(Load { held: fills, work, goal, took });
+        if way > 0 {
+            self.fill_loads[way - 1].add(Load { held: fills[way - 1], work, goal, took });
         }
         // A hit drew nothing from its source's budget.
         let hit = matches!(note, Note::Hit | Note::Joined | Note::OldCopy);
@@ -892,7 +892,7 @@
         if matches!(note, Note::Hit | Note::OldCopy) {
             self.member_mut(cache).loads.add(Load { held: load, work, goal, took });
             if load <= 3.0 {
-                self.offerings[asked.offering as usize].easy.add(took);
+                self.easy[asked.offering as usize].add(took);
             }
         }
         if !called_off {
@@ -901,7 +901,7 @@
         if last || self.held(no).is_none_or(|held| held.finished) {
             return self.finish(no);
         }
-        if filling == Filling::Not && verdict == Verdict::Miss {
+        if matches!(filling, Filling::Not | Filling::IfHeld) && verdict == Verdict::Miss {
             return self.route(no);
         }
         self.retry(no, verdict);
@@ -975,13 +975,11 @@
             return;
         }
         let offering = held.asked.offering;
-        let clean = held.ran().is_none();
         let open: Vec<u16> = held.open().filter(|(_, d)| !d.called_off).map(|(nth, _)| nth as u16).collect();
-        let group = self.word(&format!("offering.{offering}.group")) == "all";
-        let honest = match self.offerings[offering as usize].effect {
-            Effect::Repeatable => true,
-            Effect::Tagged => clean || group,
-            _ => clean,
+        let word = |what: &str| self.word(&format!("offering.{offering}.{what}"));
+        let honest = match (word("effect"), word("group")) {
+            ("repeatable", _) | ("tagged", "all") => true,
+            _ => held.ran().is_none(),
         };
         if honest {
             self.host.turn_back(no, Some(come_back).filter(|_| advised));
--- a/src/host.rs
+++ b/src/host.rs
@@ -108,6 +108,8 @@
     pub oldest: Option<Span>,
     /// Wait for a fill that runs already.
     pub join: bool,
+    /// Have the source give only what it holds.
+    pub only_held: bool,
     /// Fetch an ageing copy anew while serving it.
     pub renew: bool,
     /// The rank at which the copy is kept; 0 keeps none.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, Clone, PartialEq)]
 enum Act {
     Look(u32, u32),
-    Read { view: u32, cache: u32, source: u32, oldest: Option<Span>, join: bool, rank: u8 },
+    Read { view: u32, cache: u32, source: u32, oldest: Option<Span>, join: bool, rank: u8, only_held: bool },
     CallOff(u32, u16),
     TurnBack(u32, Option<Span>),
     WriteOff(u32),
@@ -21,8 +21,8 @@
         self.0.push(Act::Look(view.0, cache.0));
     }
     fn read(&mut self, view: ViewNo, cache: CacheNo, _: Span, terms: Terms) {
-        let Terms { source: CacheNo(source), oldest, join, rank, .. } = terms;
-        self.0.push(Act::Read { view: view.0, cache: cache.0, source, oldest, join, rank });
+        let Terms { source: CacheNo(source), oldest, join, rank, only_held, .. } = terms;
+        self.0.push(Act::Read { view: view.0, cache: cache.0, source, oldest, join, rank, only_held });
     }
     fn call_off(&mut self, view: ViewNo, nth: u16) {
         self.0.push(Act::CallOff(view.0, nth));
@@ -99,7 +99,13 @@
             facts.insert(format!("offering.{i}.{name}"), Fact::Number(value));
         }
     }
-    for (name, word) in [("2.effect", "tagged"), ("2.group", "all"), ("3.effect", "once-only")] {
+    for (name, word) in [
+        ("0.effect", "repeatable"),
+        ("1.effect", "repeatable"),
+        ("2.effect", "tagged"),
+        ("2.group", "all"),
+        ("3.effect", "once-only"),
+    ] {
         facts.insert(format!("offering.{name}"), Fact::Word(word.to_string()));
     }
     let mut control = Control::start(Fake::default(), facts, 7, Moment::at_micros(START)).unwrap();
@@ -457,6 +463,22 @@
     assert_eq!(r.end(0, Verdict::Done, Note::Hit, 20), []);
 }
 
+#[test]
+fn while_only_the_origin_is_slow_what_a_parent_holds_is_still_filled() {
+    let mut r = router(&fleet(), &[]);
+    r.quiet(100, Note::Hit, 20);
+    (100..140).for_each(|object| drop(r.view(0, object)));
+    r.wait(1500);
+    for view in 101..=140 {
+        let note = [Note::FilledByOrigin, Note::Filled][view as usize % 2];
+        r.end_of(view, 0, Verdict::Done, note, [1500, 30][view as usize % 2]);
+    }
+    let acts: Vec<Act> = (200..240).flat_map(|object| r.view(0, object)).collect();
+    let (_, source) = place(&acts[39..]);
+    assert!((4..6).contains(&source) && matches!(acts[39], Act::Read { only_held: true, .. }), "{acts:?}");
+    assert_eq!(r.end(0, Verdict::Done, Note::Filled, 30), []);
+}
+
 #[test]
 fn a_cache_whose_hits_come_late_gets_fewer_views() {
     let mut r = router(&fleet(), &[]);
@@ -475,7 +497,7 @@
             r.end_of(held.remove(0), 0, Verdict::Done, Note::Hit, 900);
         }
     }
-    assert!(held.len() < 20, "{} in hand", held.len());
+    assert!(held.len() < 4, "{} in hand", held.len());
 }
 
 #[test]
