--- a/src/control.rs
+++ b/src/control.rs
@@ -758,7 +758,8 @@
     fn patience(&self, held: &Held, left: Span) -> Span {
         let usual = self.filled.quantile(0.95, |filled| filled.1).unwrap_or(left);
         let cut_off = self.span_of(held.asked.offering, "cut_off");
-        (usual * 3.0).max(cut_off * 0.5).min(left)
+        let goal = self.goal(held.asked.offering, self.work(&held.asked));
+        (usual * 3.0).max(cut_off * 0.75).max(Span::secs(goal * 1.5)).min(left)
     }
 
     /// How long a cache with views in hand may say nothing before it counts as hung.
