--- a/src/control.rs
+++ b/src/control.rs
@@ -466,7 +466,7 @@
     /// link is full, so the number at which it gets too slow follows from the mean slowness and the mean
     /// number. Answers overload, slow caches, parents and origins, full links and hot objects alike.
     /// Could harm where lateness has a cause that does not grow with what is in hand.
-    fn limit(&self, loads: &Samples<Load>, offering: u16) -> f64 {
+    fn limit(&self, loads: &Samples<Load>, asked: &Asked) -> f64 {
         let (mut work, mut took, mut held, mut goal) = (0.0, 0.0, 0.0, 0.0);
         for load in &loads.0 {
             work += load.work;
@@ -478,9 +478,10 @@
         if loads.0.len() < 8 || took < goal * 0.5 * 0.9 {
             return f64::INFINITY;
         }
-        let mean = self.mean_work(offering).max(0.001);
-        let room = (self.goal(offering, mean) / mean) / (goal / work);
-        held / work * (0.5 * goal / took) * room.max(1.0)
+        // What asks little work for its goal is let in longer, and what is told to ask much less long.
+        let own = self.work(asked).max(0.001);
+        let room = (self.goal(asked.offering, own) / own) / (goal / work);
+        held / work * (0.5 * goal / took) * room.max(if asked.kb.is_some() { 0.5 } else { 1.0 })
     }
 
     /// The time in which an answer of so much work is in time.
@@ -490,8 +491,8 @@
 
     /// The fills in hand here over those that may be, so that one of the offering still comes in time: all
     /// (0), or those by the origin (1).
-    fn fill_crowd(&self, offering: u16, far: usize) -> f64 {
-        self.fills_in_hand(far) / self.limit(&self.fill_loads[far], offering).max(4.0)
+    fn fill_crowd(&self, asked: &Asked, far: usize) -> f64 {
+        self.fills_in_hand(far) / self.limit(&self.fill_loads[far], asked).max(4.0)
     }
 
     /// Fills in hand by estimate: of what fills as it comes, the part of the time that went to fills.
@@ -567,14 +568,14 @@
     }
 
     /// How little a member suits a view: 0 is an ordinary one; among equals the hash order decides.
-    fn penalty(&self, no: CacheNo, offering: u16, hash: u64, tried: bool) -> u32 {
+    fn penalty(&self, no: CacheNo, asked: &Asked, hash: u64, tried: bool) -> u32 {
         let member = self.member(no);
         // Objects come back to a restarted member one by one, at every router the same ones.
         let away = unit(mix(hash, member.listed.stable.rotate_left(32))) >= self.warmth(member);
         u32::from(self.ill(member)) * 8
             + u32::from(tried) * 4
             + u32::from(away) * 2
-            + u32::from(self.crowded(member) || self.too_late(no, offering))
+            + u32::from(self.crowded(member) || self.too_late(no, asked))
     }
 
     /// Left out, and not yet due for a trial view.
@@ -590,9 +591,9 @@
     }
 
     /// Whether a view would come late from a cache with that much in hand.
-    fn too_late(&self, cache: CacheNo, offering: u16) -> bool {
+    fn too_late(&self, cache: CacheNo, asked: &Asked) -> bool {
         let member = self.member(cache);
-        member.tier == Tier::Cache && f64::from(member.out) >= self.limit(&member.loads, offering).max(2.0)
+        member.tier == Tier::Cache && f64::from(member.out) >= self.limit(&member.loads, asked).max(2.0)
     }
 
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
@@ -616,10 +617,10 @@
         let work = self.mean_work(asked.offering);
         let bearable = |cache: &CacheNo| self.bears(self.member(*cache), work);
         let mut source = (self.order(hash, Tier::Parent).into_iter().filter(bearable))
-            .min_by_key(|parent| self.penalty(*parent, asked.offering, hash, held.failed_at(*parent)))
+            .min_by_key(|parent| self.penalty(*parent, &asked, hash, held.failed_at(*parent)))
             .or(origin);
         let mut cache = (self.order(hash, Tier::Cache).into_iter().filter(bearable))
-            .min_by_key(|cache| self.penalty(*cache, asked.offering, hash, tried(cache)));
+            .min_by_key(|cache| self.penalty(*cache, &asked, hash, tried(cache)));
         if plain {
             source = None;
         } else if through {
@@ -632,7 +633,7 @@
         // just the origin's come late: hits and joins are served as ever, and what surely misses is filled
         // within the limit or turned back. Guards the location's link, the parents and the origin from more
         // fills than come in time, whatever made them late. Acts at four fifths of the limit.
-        let [near, far] = [0, 1].map(|far| self.fill_crowd(asked.offering, far));
+        let [near, far] = [0, 1].map(|far| self.fill_crowd(&asked, far));
         let filling = match (cache, missed) {
             _ if plain || through || cache == source => Filling::AsItComes,
             (_, Some(_)) if near >= 1.0 => return self.give_up(no),
@@ -643,7 +644,7 @@
             _ => Filling::Surely,
         };
         match cache {
-            Some(cache) if !self.too_late(cache, asked.offering) => {
+            Some(cache) if !self.too_late(cache, &asked) => {
                 let source = if filling == Filling::Not { Some(cache) } else { source };
                 self.send(no, cache, source, filling)
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -47,6 +47,7 @@
     millis: u64,
     next: u32,
     repeats: bool,
+    kb: Option<f32>,
 }
 
 fn line(cache: u32, stable: u64, kind: u8, started: Option<u64>) -> Listed {
@@ -110,7 +111,7 @@
     }
     let mut control = Control::start(Fake::default(), facts, 7, Moment::at_micros(START)).unwrap();
     control.listed(ListForm::Whole, list);
-    Router { control, millis: 0, next: 0, repeats: false }
+    Router { control, millis: 0, next: 0, repeats: false, kb: None }
 }
 
 impl Router {
@@ -126,7 +127,7 @@
 
     /// Takes a view for an object, group 9, with so long to answer.
     fn view_within(&mut self, offering: u16, object: u64, millis: u64) -> Vec<Act> {
-        let asked = Asked { object, part: 0, group: 9, offering, kb: None, repeat: self.repeats };
+        let asked = Asked { object, part: 0, group: 9, offering, kb: self.kb, repeat: self.repeats };
         self.next += 1;
         self.control.view(ViewNo(self.next), asked, Span::millis(millis));
         self.wait(0)
@@ -500,6 +501,23 @@
     assert!(held.len() < 4, "{} in hand", held.len());
 }
 
+#[test]
+fn what_is_told_to_be_huge_is_turned_back_first() {
+    let mut r = router(&fleet(), &[("client_kb_per_s", 1000.0), ("direct", 0.0)]);
+    r.kb = Some(50.0);
+    r.quiet(100, Note::Hit, 55);
+    (100..180).for_each(|object| drop(r.view(0, object)));
+    r.wait(390);
+    (101..=180).for_each(|view| drop(r.end_of(view, 0, Verdict::Done, Note::Hit, 390)));
+    let mut taken = |kb: f32| {
+        r.kb = Some(kb);
+        (200..280).filter(|object| matches!(r.view(0, *object)[..], [Act::Read { .. }])).count()
+    };
+    let huge = taken(1500.0);
+    let small = taken(50.0);
+    assert!(huge > 8 && huge < 60 && small > huge / 3, "{huge} huge ones and then {small} small ones taken");
+}
+
 #[test]
 fn a_view_is_answered_before_its_client_leaves_and_never_after() {
     let mut r = router(&fleet(), &[("calling_off", 0.0)]);
