--- a/src/control.rs
+++ b/src/control.rs
@@ -116,7 +116,7 @@
     /// What the cache had in hand from here then, this one counted.
     load: f64,
     filling: Filling,
-    /// Fills in hand here then, by estimate: all, and those by the origin.
+    /// Fills in hand here then, by estimate: from what a source held, and by the origin.
     fills: [f64; 2],
     called_off: bool,
     end: Option<(Verdict, Note)>,
@@ -466,7 +466,7 @@
     /// link is full, so the number at which it gets too slow follows from the mean slowness and the mean
     /// number. Answers overload, slow caches, parents and origins, full links and hot objects alike.
     /// Could harm where lateness has a cause that does not grow with what is in hand.
-    fn limit(&self, loads: &Samples<Load>, asked: &Asked) -> f64 {
+    fn limit(&self, loads: &Samples<Load>, asked: &Asked, calm: f64) -> f64 {
         let (mut work, mut took, mut held, mut goal) = (0.0, 0.0, 0.0, 0.0);
         for load in &loads.0 {
             work += load.work;
@@ -475,7 +475,7 @@
             goal += load.goal;
         }
         // Each answer is held against its own goal, so a small one with a long way does not count as slow.
-        if loads.0.len() < 8 || took < goal * 0.5 * 0.9 {
+        if loads.0.len() < 8 || took < goal * calm {
             return f64::INFINITY;
         }
         // What asks little work for its goal is let in longer, and what is told to ask much less long.
@@ -489,21 +489,22 @@
         self.span_of(offering, "latency_goal").as_secs() + self.of(offering, "goal_stretch") * work
     }
 
-    /// The fills in hand here over those that may be, so that one of the offering still comes in time: all
-    /// (0), or those by the origin (1).
+    /// The fills in hand here over those that may be, so that one of the offering still comes in time:
+    /// from what a source holds (0), or by the origin (1).
     fn fill_crowd(&self, asked: &Asked, far: usize) -> f64 {
-        self.fills_in_hand(far) / self.limit(&self.fill_loads[far], asked).max(4.0)
+        self.fills_in_hand(far)
+            / self.limit(&self.fill_loads[far], asked, [0.45, 0.6][far]).max([6.0, 4.0][far])
     }
 
     /// Fills in hand by estimate: of what fills as it comes, the part of the time that went to fills.
     fn fills_in_hand(&self, far: usize) -> f64 {
-        let took = |least: usize| {
-            let counted = self.filled.0.iter().filter(|filled| filled.0 >= least);
+        let took = |way: &[usize]| {
+            let counted = self.filled.0.iter().filter(|filled| way.contains(&filled.0));
             counted.map(|filled| filled.1.as_secs()).sum::<f64>()
         };
         let [as_it_comes, _, if_held, surely] = self.filling;
         let held = if far == 0 { if_held } else { 0.0 };
-        surely + held + as_it_comes * took(1 + far) / took(0).max(0.001)
+        surely + held + as_it_comes * took(&[1 + far]) / took(&[0, 1, 2]).max(0.001)
     }
 
     /// Members of one tier in the order of the weighted rendezvous hash, best first.
@@ -593,7 +594,7 @@
     /// Whether a view would come late from a cache with that much in hand.
     fn too_late(&self, cache: CacheNo, asked: &Asked) -> bool {
         let member = self.member(cache);
-        member.tier == Tier::Cache && f64::from(member.out) >= self.limit(&member.loads, asked).max(2.0)
+        member.tier == Tier::Cache && f64::from(member.out) >= self.limit(&member.loads, asked, 0.45).max(2.0)
     }
 
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
@@ -702,9 +703,10 @@
         let purged = purge.iter().filter_map(|key| self.purges.get(key)).max();
         let since_purge = purged.map(|at| self.now.since(*at).max(Span::micros(1)));
         let retry = held.dispatches.iter().any(Dispatch::fills_misses);
-        // A copy past its fresh time earns less; it is taken when a dispatch has failed or fills come late.
+        // A copy past its fresh time earns less; it is taken when a dispatch has failed or no more fills are let in.
         let fresh = self.span_of(offering, "fresh");
-        let limit = match (fresh, retry || filling != Filling::AsItComes) {
+        let scarce = [0, 1].into_iter().any(|far| self.fill_crowd(&held.asked, far) >= 1.0);
+        let limit = match (fresh, retry || scarce) {
             (Span::ZERO, _) => None,
             (fresh, false) => since_purge.map(|_| fresh),
             (fresh, true) => Some(fresh + self.span_of(offering, "older_by")),
