--- a/src/control.rs
+++ b/src/control.rs
@@ -328,13 +328,14 @@
         &mut self.members[cache.0 as usize]
     }
 
-    /// Members of a tier that were ever listed, and how much they could do together.
     fn tier(&self, tier: Tier) -> impl Iterator<Item = &Member> {
         self.members.iter().filter(move |m| m.tier == tier)
     }
 
-    fn size(&self, tier: Tier) -> f64 {
-        self.tier(tier).map(|m| f64::from(m.listed.size)).sum::<f64>().max(1e-3)
+    /// How much those of a tier could do together that are ready or have answered since.
+    fn size(&self, tier: Tier, since: Moment) -> f64 {
+        let counted = |m: &&Member| m.listed.standing == Standing::Ready || m.heard >= since;
+        self.tier(tier).filter(counted).map(|m| f64::from(m.listed.size)).sum::<f64>().max(1e-3)
     }
 
     /// News of the list of caches.
@@ -545,8 +546,8 @@
 
     /// Rule 4: whether a cold member can take this work without any danger of falling over. The budget
     /// of a sliding window is what it surely has, times the multiple that it bears, times the window.
-    /// Its capacity is put low: what warm members lately did for this router, shared over all ever listed
-    /// beside it. As every router counts only what was done for itself, their budgets add up to one. What
+    /// Its capacity is put low: what warm members lately did for this router, shared over all that are
+    /// ready or answered within two warm-up times: the list may name one of a lost branch before the rest. As every router counts only what was done for itself, their budgets add up to one. What
     /// was asked for counts in part, for a router that has only just started, and without the clients'
     /// repeats, with which it swells after a loss.
     fn bears(&self, member: &Member, work: f64) -> bool {
@@ -555,11 +556,13 @@
             return true;
         }
         let asked = self.pace(&self.asked);
-        let (multiple, flow) = match member.tier {
-            Tier::Parent => ("parent_multiple", self.pace(&self.fills).max(asked * 0.05)),
-            _ => ("cold_multiple", self.pace(&self.served).max(asked * 0.5)),
+        let (multiple, done, asked) = match member.tier {
+            Tier::Parent => ("parent_multiple", &self.fills, asked * 0.05),
+            _ => ("cold_multiple", &self.served, asked * 0.5),
         };
-        let bears = self.fact(multiple, 1.0) * flow * f64::from(member.listed.size) / self.size(member.tier);
+        let since = self.now - self.span("warm_within", Span::secs(15.0)) * 2.0;
+        let part = f64::from(member.listed.size) / self.size(member.tier, since);
+        let bears = self.fact(multiple, 1.0) * self.pace(done).max(asked) * part;
         let window = self.span("cold_window", Span::secs(1.0));
         let spent: f64 = (member.drawn.iter())
             .filter(|drawn| self.now.since(drawn.0) <= window)
@@ -587,7 +590,7 @@
     /// A hot object can outgrow its cache: views beyond a fair bound go to the next in its order.
     fn crowded(&self, member: &Member) -> bool {
         let out: u32 = self.tier(member.tier).map(|m| m.out).sum();
-        let share = f64::from(member.listed.size) / self.size(member.tier);
+        let share = f64::from(member.listed.size) / self.size(member.tier, self.now + Span::millis(1));
         member.tier == Tier::Cache && f64::from(member.out) > 4.0 + 1.5 * f64::from(out) * share
     }
 
@@ -760,9 +763,8 @@
     /// How long one dispatch may take: well beyond what its offering's answers took lately.
     fn patience(&self, held: &Held, left: Span) -> Span {
         let usual = self.filled.quantile(0.95, |filled| filled.1).unwrap_or(left);
-        let cut_off = self.span_of(held.asked.offering, "cut_off");
-        let goal = self.goal(held.asked.offering, self.work(&held.asked));
-        (usual * 3.0).max(cut_off * 0.75).max(Span::secs(goal * 1.5)).min(left)
+        let goal = Span::secs(self.goal(held.asked.offering, self.work(&held.asked)));
+        (usual * 3.0).max(self.span_of(held.asked.offering, "cut_off") * 0.75).max(goal * 1.5).min(left)
     }
 
     /// How long a cache with views in hand may say nothing before it counts as hung.
@@ -808,14 +810,10 @@
     fn leave_out(&mut self, no: CacheNo) {
         let now = self.now;
         let member = self.member(no);
-        let others = self.tier(member.tier).filter(|m| m.listed.standing == Standing::Ready);
-        let (mut all, mut out) = (0.0, 0.0);
-        for other in others {
-            all += f64::from(other.listed.size);
-            if other.out_until.is_some() || other.listed.cache == no {
-                out += f64::from(other.listed.size);
-            }
-        }
+        let all = self.size(member.tier, now + Span::millis(1));
+        let ready = self.tier(member.tier).filter(|m| m.listed.standing == Standing::Ready);
+        let left_out = ready.filter(|m| m.out_until.is_some() || m.listed.cache == no);
+        let out: f64 = left_out.map(|m| f64::from(m.listed.size)).sum();
         if out > all * 0.6 || member.out_until.is_some_and(|until| until > now) {
             return;
         }
@@ -885,6 +883,9 @@
         if verdict == Verdict::Done && filling == Filling::AsItComes {
             self.filled.add((way, took));
         }
+        if let Some(source) = source.filter(|_| way > 0 && !late) {
+            self.member_mut(source).heard = now;
+        }
         if way > 0 {
             self.fill_loads[way - 1].add(Load { held: fills[way - 1], work, goal, took });
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -288,6 +288,24 @@
     assert!((50..300).contains(&sent), "{sent} sent");
 }
 
+#[test]
+fn the_first_of_a_lost_branch_to_be_listed_is_not_taken_for_all_of_it() {
+    let mut r = router(&fleet(), &[("direct", 0.0)]);
+    let gone: Vec<Listed> = fleet()[..4].iter().map(|l| Listed { standing: Standing::Gone, ..*l }).collect();
+    r.control.listed(ListForm::Changes, &gone);
+    let ask = |r: &mut Router| {
+        let read = (0..100).filter(|object| {
+            r.wait(10);
+            matches!(r.view(0, *object)[..], [Act::Read { .. }])
+        });
+        read.count()
+    };
+    assert_eq!(ask(&mut r), 0);
+    r.control.listed(ListForm::Changes, &[line(0, 1000, 0, Some(r.millis))]);
+    let sent = ask(&mut r);
+    assert!((1..15).contains(&sent), "{sent} sent");
+}
+
 #[test]
 fn a_restarted_parent_takes_its_objects_back_one_by_one() {
     let mut r = router(&fleet(), &[]);
