--- a/src/control.rs
+++ b/src/control.rs
@@ -620,9 +620,12 @@
         let missed = held.dispatches.last().filter(|d| !d.fills_misses()).map(|d| d.filling);
         let work = self.mean_work(asked.offering);
         let bearable = |cache: &CacheNo| self.bears(self.member(*cache), work);
-        let mut source = (self.order(hash, Tier::Parent).into_iter().filter(bearable))
-            .min_by_key(|parent| self.penalty(*parent, &asked, hash, held.failed_at(*parent)))
-            .or(origin);
+        // Where every parent is left out or failed this view, the origin is its source: for parents lost
+        // together; could harm an origin that made them fail, but that its fills stay limited.
+        let misfit = |no: CacheNo| (self.penalty(no, &asked, hash, held.failed_at(no)), no);
+        let parents = self.order(hash, Tier::Parent).into_iter().filter(bearable).map(misfit);
+        let parent = parents.min_by_key(|parent| parent.0).filter(|parent| parent.0 < 4 || origin.is_none());
+        let mut source = parent.map(|parent| parent.1).or(origin);
         let mut cache = (self.order(hash, Tier::Cache).into_iter().filter(bearable))
             .min_by_key(|cache| self.penalty(*cache, &asked, hash, tried(cache)));
         if plain {
@@ -915,22 +918,23 @@
     /// Draws from the end of a dispatch what it says of cache, source and offering.
     fn learn(&mut self, cache: CacheNo, source: Option<CacheNo>, asked: &Asked, end: (Verdict, Note)) {
         let (verdict, note) = end;
-        let now = self.now;
         let filled = matches!(note, Note::Filled | Note::FilledByOrigin);
         match verdict {
             Verdict::Done => {
                 if let Some(source) = source.filter(|s| filled && *s != cache) {
                     if self.is_warm(source) {
-                        self.fills.add((now, asked.offering));
+                        self.fills.add((self.now, asked.offering));
                     }
                     self.sign(source, true);
                 }
                 if self.is_warm(cache) && self.member(cache).tier == Tier::Cache {
-                    self.served.add((now, asked.offering));
+                    self.served.add((self.now, asked.offering));
                 }
                 self.sign(cache, true);
             }
-            Verdict::Error | Verdict::TimedOut | Verdict::Broken | Verdict::Unreachable => {
+            Verdict::CalledOff | Verdict::Moot | Verdict::Miss => {}
+            Verdict::Full if note != Note::SourceLost => {}
+            _ => {
                 let by_source = matches!(note, Note::SourceRefused | Note::SourceLost);
                 if !by_source && note != Note::OriginFailed {
                     self.sign(cache, false);
@@ -940,7 +944,6 @@
                     self.sign(source, false);
                 }
             }
-            _ => {}
         }
     }
 
@@ -950,7 +953,7 @@
         let retries = self.sends.0.iter().filter(|retry| **retry).count();
         let shaken = self.chance.random_range(0.0..1.0);
         let Some(held) = self.held(no) else { return };
-        let full = |d: &&Dispatch| d.end.is_some_and(|end| end.0 == Verdict::Full);
+        let full = |d: &&Dispatch| matches!(d.end, Some((Verdict::Full, Note::Untold | Note::NoFillPlace)));
         let fulls = held.dispatches.iter().filter(full).count();
         let nth = held.dispatches.len() as f64;
         // The waiters of a failed join come back spread out; what was only diverted goes at once.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -460,6 +460,15 @@
     assert!(times.len() > 2, "{times:?}");
 }
 
+#[test]
+fn when_every_parent_failed_a_view_it_is_filled_by_the_origin() {
+    let mut r = router(&fleet(), &[]);
+    let (cache, _) = place(&r.view(0, 1));
+    // A cache that could not reach its source is not full, and stays.
+    assert_eq!(place(&r.end(0, Verdict::Full, Note::SourceLost, 9)).0, cache);
+    assert_eq!(place(&r.end(1, Verdict::Full, Note::SourceLost, 9)), (cache, 6));
+}
+
 #[test]
 fn while_fills_come_late_misses_are_turned_back_and_hits_are_served() {
     let mut r = router(&fleet(), &[]);
