--- a/src/control.rs
+++ b/src/control.rs
@@ -523,11 +523,11 @@
     }
 
     /// Rule 4: whether a cold member can take this work without any danger of falling over. The budget
-    /// of a sliding window is what it surely has, times the multiple that it bears, times the window.
-    /// Its capacity is put low: what warm members lately did for this router, shared over all that are
-    /// ready or answered within two warm-up times: the list may name one of a lost branch before the rest. As every router counts only what was done for itself, their budgets add up to one. What
-    /// was asked for counts in part, for a router that has only just started, and without the clients'
-    /// repeats, with which it swells after a loss.
+    /// of a sliding window is what it surely has, times the multiple that it bears, times the window. Its
+    /// capacity is put low: what warm members lately did for this router, shared over all that are ready
+    /// or answered within two warm-up times, as the list may name one of a lost branch before the rest.
+    /// As every router counts only its own, the budgets add up to one. First tries count in part, for a
+    /// router just started; clients' repeats do not, as they swell after a loss.
     fn bears(&self, member: &Member, work: f64) -> bool {
         let warmth = self.warmth(member);
         if warmth >= 1.0 {
@@ -561,9 +561,9 @@
             + u32::from(self.crowded(member) || self.too_late(no, asked))
     }
 
-    /// The part of its objects that a slow parent keeps: as much less as its last fills took longer than
-    /// the best parent's, but a tenth, to see it recover. Guards against slow, crowded and half-hung parents; what slows all alike, as an
-    /// origin does, does not count. Could harm where the nearer parent is only better, not enough for all.
+    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: as much less
+    /// as its last fills took longer than the best parent's. Guards against slow, crowded and half-hung
+    /// parents, not what slows all alike. Could harm where the better parent cannot take it all.
     fn fitness(&self, member: &Member) -> f64 {
         let pressure = |m: &Member| match m.loads.0.len() {
             0..6 => 0.3,
@@ -707,7 +707,7 @@
         let purged = purge.iter().filter_map(|key| self.purges.get(key)).max();
         let since_purge = purged.map(|at| self.now.since(*at).max(Span::micros(1)));
         let retry = held.dispatches.iter().any(Dispatch::fills_misses);
-        // A copy past its fresh time earns less; it is taken when a dispatch has failed or no more fills are let in.
+        // A copy past its fresh time earns less: for when a dispatch has failed or no more fills are let in.
         let fresh = self.span_of(offering, "fresh");
         let scarce = [0, 1].into_iter().any(|far| self.fill_crowd(&held.asked, far) >= 1.0);
         let limit = match (fresh, retry || scarce) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -64,7 +64,7 @@
         .collect()
 }
 
-/// Offering 0 is repeatable and may be kept; 1 goes stale; 2 is tagged and 3 once-only, both run at the origin.
+/// Offering 0 is repeatable and kept; 1 goes stale; 2 is tagged, 3 once-only, and both run at the origin.
 fn router(list: &[Listed], more: &[(&str, f64)]) -> Router {
     let numbers = [
         ("offerings", 4.0),
