Rank only the location's caches and the parents; read settings by offering

Work a view no longer grows with the fleet: each tier's members are kept together, a slow parent is compared only once it is slow itself, no setting's name is built anew, a whole list is not matched line by line. A member that changes tier starts anew.

--- a/src/control.rs
+++ b/src/control.rs
@@ -3,29 +3,8 @@
 //! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time.
 //! Whenever something happens it sets the [`clock`](Control::clock) and calls the method named for it
 //! ([`view`](Control::view), [`answered`](Control::answered), [`listed`](Control::listed), ...). The
-//! control acts by calling the host, whose trait and plain types are in [`crate::host`].
-//!
-//! ```
-//! use tindoor::{control::Control, host::*, time::*};
-//! struct Printer;
-//! impl Host for Printer {
-//!     fn look(&mut self, view: ViewNo, cache: CacheNo, _: Span) { println!("{view:?} to {cache:?}") }
-//!     fn read(&mut self, view: ViewNo, cache: CacheNo, _: Span, terms: Terms) {
-//!         println!("{view:?} to {cache:?}, a miss from {:?}", terms.source)
-//!     }
-//!     fn call_off(&mut self, _: ViewNo, _: u16) {}
-//!     fn turn_back(&mut self, view: ViewNo, _: Option<Span>) { println!("{view:?} turned back") }
-//!     fn write_off(&mut self, _: ViewNo) {}
-//!     fn wake_in(&mut self, _: Span) {}
-//!     fn subscribe(&mut self) {}
-//! }
-//! let facts = [("offerings", 1.0), ("offering.0.cut_off", 2e6), ("offering.0.latency_goal", 3e5),
-//!     ("drain_grace", 5e5), ("location", 1.0)];
-//! let facts = facts.map(|(name, value)| (name.to_string(), Fact::Number(value))).into();
-//! let mut control = Control::start(Printer, facts, 7, Moment::at_micros(0)).unwrap();
-//! let asked = Asked { object: 5, part: 0, group: 0, offering: 0, kb: None, repeat: false };
-//! control.view(ViewNo(0), asked, Span::millis(900)); // no cache is listed: turned back
-//! ```
+//! control acts by calling the host, whose trait and plain types are in [`crate::host`]; the crate's front
+//! page shows it at work.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -162,11 +141,15 @@
 pub struct Control<H: Host> {
     host: H,
     facts: Facts,
+    /// The facts of each offering, by their names within it.
+    offerings: Vec<Facts>,
     now: Moment,
     chance: Pcg64Mcg,
     /// By offering, hits of caches that had little else in hand: what sending takes by itself.
     easy: Vec<Samples<Span>>,
     members: Vec<Member>,
+    /// Which of them are of each tier.
+    tiers: [Vec<CacheNo>; 4],
     views: Vec<Option<Held>>,
     serial: u64,
     purges: HashMap<(bool, u64), Moment>,
@@ -208,10 +191,12 @@
         let mut control = Self {
             host,
             facts,
+            offerings: Vec::new(),
             now,
             chance: Pcg64Mcg::seed_from_u64(seed),
             easy: Vec::new(),
             members: Vec::new(),
+            tiers: Default::default(),
             views: Vec::new(),
             serial: 0,
             purges: HashMap::new(),
@@ -228,8 +213,14 @@
         };
         ["location", "drain_grace"].into_iter().try_for_each(|name| control.need(name).map(drop))?;
         for i in 0..control.need("offerings")? as usize {
-            control.need(&format!("offering.{i}.cut_off"))?;
-            control.need(&format!("offering.{i}.latency_goal"))?;
+            ["cut_off", "latency_goal"]
+                .into_iter()
+                .try_for_each(|name| control.need(&format!("offering.{i}.{name}")).map(drop))?;
+            let own = |(name, fact): (&String, &Fact)| {
+                Some((name.strip_prefix(&format!("offering.{i}."))?.to_string(), fact.clone()))
+            };
+            let own = control.facts.iter().filter_map(own).collect();
+            control.offerings.push(own);
             control.easy.push(Samples::last(64));
         }
         if control.fact("list_on_request", 0.0) > 0.0 {
@@ -255,7 +246,10 @@
 
     /// A fact of an offering; nothing where it is not set.
     fn of(&self, offering: u16, what: &str) -> f64 {
-        self.fact(&format!("offering.{offering}.{what}"), 0.0)
+        match self.offerings[offering as usize].get(what) {
+            Some(Fact::Number(value)) => *value,
+            _ => 0.0,
+        }
     }
 
     fn span_of(&self, offering: u16, what: &str) -> Span {
@@ -263,11 +257,11 @@
     }
 
     fn is_repeatable(&self, offering: u16) -> bool {
-        self.word(&format!("offering.{offering}.effect")) == "repeatable"
+        self.word_of(offering, "effect") == "repeatable"
     }
 
-    fn word(&self, name: &str) -> &str {
-        match self.facts.get(name) {
+    fn word_of(&self, offering: u16, what: &str) -> &str {
+        match self.offerings[offering as usize].get(what) {
             Some(Fact::Word(word)) => word,
             _ => "",
         }
@@ -329,7 +323,7 @@
     }
 
     fn tier(&self, tier: Tier) -> impl Iterator<Item = &Member> {
-        self.members.iter().filter(move |m| m.tier == tier)
+        self.tiers[tier as usize].iter().map(|no| self.member(*no))
     }
 
     /// How much those of a tier could do together that are ready or have answered since.
@@ -345,11 +339,8 @@
             self.alarm(self.now + pause, ViewNo(u32::MAX));
         }
         if form == ListForm::Whole {
-            for member in &mut self.members {
-                if !lines.iter().any(|line| line.cache == member.listed.cache) {
-                    member.listed.standing = Standing::Gone;
-                }
-            }
+            // What the list does not name is gone; what it names is set below.
+            self.members.iter_mut().for_each(|member| member.listed.standing = Standing::Gone);
         }
         for line in lines {
             let tier = match f64::from(line.kind) {
@@ -363,17 +354,21 @@
             let (signs, gaps, loads) = (Samples::last(16), Samples::last(16), Samples::last(40));
             let (listed, heard, drawn, out_until, outages) = (*line, self.now, VecDeque::new(), None, 0);
             let fresh = Member { listed, tier, signs, loads, out, heard, gaps, out_until, outages, drawn };
-            match known.map(|member| member.listed.started) {
+            match known.map(|member| (member.listed.started, member.tier)) {
                 None => self.members.push(fresh),
                 // Gone; its size and place still tell how the load was shared.
                 Some(_) if line.standing == Standing::Gone => {
                     self.member_mut(line.cache).listed.standing = Standing::Gone
                 }
                 // The same life goes on: what was learned of its health stays.
-                Some(started) if started == line.started => self.member_mut(line.cache).listed = *line,
+                Some(same) if same == (line.started, tier) => self.member_mut(line.cache).listed = *line,
                 Some(_) => *self.member_mut(line.cache) = fresh,
             }
         }
+        self.tiers.iter_mut().for_each(Vec::clear);
+        for member in &self.members {
+            self.tiers[member.tier as usize].push(member.listed.cache);
+        }
     }
 
     /// An object, or else a whole group, was purged so long ago.
@@ -574,10 +569,12 @@
             }
         };
         let own = pressure(member);
+        if member.tier != Tier::Parent || own <= 0.45 {
+            return 1.0;
+        }
         let ready = self.tier(member.tier).filter(|m| m.listed.standing == Standing::Ready);
         let best = ready.map(pressure).fold(own, f64::min);
-        let slow = member.tier == Tier::Parent && own > 0.45 && own > 2.0 * best;
-        if slow { (best / own).max(0.1) } else { 1.0 }
+        if own > 2.0 * best { (best / own).max(0.1) } else { 1.0 }
     }
 
     /// Left out, and not yet due for a trial view.
@@ -669,7 +666,7 @@
             return;
         }
         // Rule 2: what may have run goes again only where a repeat does no harm.
-        let word = |what: &str| self.word(&format!("offering.{offering}.{what}"));
+        let word = |what: &str| self.word_of(offering, what);
         let place = |cache: CacheNo| (self.member(cache).listed.location, self.member(cache).listed.cell);
         let harmless = match (word("effect"), held.ran()) {
             ("repeatable", _) | (_, None) => true,
@@ -878,7 +875,7 @@
         let way = match note {
             Note::Filled => 1,
             Note::FilledByOrigin | Note::OriginFailed => 2,
-            _ if late => 1 + usize::from(self.word("notes") == "all"),
+            _ if late => 1 + usize::from(self.facts.get("notes") == Some(&Fact::Word("all".into()))),
             _ => 0,
         };
         if verdict == Verdict::Done && filling == Filling::AsItComes {
@@ -984,7 +981,7 @@
         }
         let offering = held.asked.offering;
         let open: Vec<u16> = held.open().filter(|(_, d)| !d.called_off).map(|(nth, _)| nth as u16).collect();
-        let word = |what: &str| self.word(&format!("offering.{offering}.{what}"));
+        let word = |what: &str| self.word_of(offering, what);
         let honest = match (word("effect"), word("group")) {
             ("repeatable", _) | ("tagged", "all") => true,
             _ => held.ran().is_none(),
