--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -94,6 +94,12 @@
     facts.insert("offerings".to_string(), Fact::Number(classes.len() as f64));
     let asked_for = settings.get("registry_mode").and_then(Value::as_str) == Some("on_request");
     facts.insert("list_on_request".to_string(), Fact::Number(f64::from(u8::from(asked_for))));
+    let here = settings.get("zone").and_then(Value::as_u64).unwrap_or_default() as usize;
+    let by_zone = settings.pointer("/family_info/instances_by_zone");
+    let routers_here = by_zone.and_then(|list| list.get(here)).and_then(fact);
+    facts.extend(routers_here.map(|routers| ("routers_here".to_string(), routers)));
+    let size_told = settings.get("weights").and_then(Value::as_str) == Some("nominal");
+    facts.insert("size_told".to_string(), Fact::Number(f64::from(u8::from(size_told))));
     let fills = settings.get("family").and_then(Value::as_str) == Some("edge");
     facts.insert("fills".to_string(), Fact::Number(f64::from(u8::from(fills))));
     Ok(facts)
--- a/src/control.rs
+++ b/src/control.rs
@@ -72,8 +72,9 @@
     /// Set while it is left out for what it did; a few trial views go to it after that moment.
     out_until: Option<Moment>,
     outages: i32,
-    /// Work sent while it was cold, by time, view and dispatch.
+    /// Work sent while it was cold, by time, view and dispatch; and what it would have got if it bore all.
     drawn: VecDeque<(Moment, f64, u64, u16)>,
+    wanted: VecDeque<(Moment, f64)>,
 }
 
 /// Whether a dispatch fills a miss: as it comes, not at all, only from what its source holds, or surely,
@@ -110,6 +111,8 @@
 /// A view in hand.
 struct Held {
     serial: u64,
+    /// Its lot where something is let through in part.
+    lot: u64,
     asked: Asked,
     end: Moment,
     dispatches: Vec<Dispatch>,
@@ -129,6 +132,12 @@
         self.dispatches.iter().enumerate().filter(|(_, d)| d.end.is_none())
     }
 
+    /// Whether it was sent to that cache in vain, and not by fault of a source.
+    fn failed_in(&self, cache: CacheNo) -> bool {
+        let by_source = |d: &Dispatch| d.source.is_some_and(|source| self.failed_at(source));
+        self.dispatches.iter().any(|d| d.cache == cache && d.fills_misses() && !by_source(d))
+    }
+
     /// Whether a fill of this view failed at that source.
     fn failed_at(&self, source: CacheNo) -> bool {
         use Note::{OriginFailed, SourceLacks, SourceLost, SourceRefused};
@@ -352,8 +361,10 @@
             let known = self.members.get(line.cache.0 as usize);
             let out = known.map_or(0, |member| member.out);
             let (signs, gaps, loads) = (Samples::last(16), Samples::last(16), Samples::last(40));
-            let (listed, heard, drawn, out_until, outages) = (*line, self.now, VecDeque::new(), None, 0);
-            let fresh = Member { listed, tier, signs, loads, out, heard, gaps, out_until, outages, drawn };
+            let (listed, heard, out_until, outages) = (*line, self.now, None, 0);
+            let (drawn, wanted) = Default::default();
+            let fresh =
+                Member { listed, tier, signs, loads, out, heard, gaps, out_until, outages, drawn, wanted };
             match known.map(|member| (member.listed.started, member.tier)) {
                 None => self.members.push(fresh),
                 // Gone; its size and place still tell how the load was shared.
@@ -396,8 +407,8 @@
         self.serial += 1;
         // The answer must be out before the client leaves: a few milliseconds are kept for it.
         let end = self.now + (left - Span::millis(6));
-        let (serial, dispatches) = (self.serial, Vec::new());
-        let held = Held { serial, asked, end, dispatches, finished: false };
+        let (serial, lot, dispatches) = (self.serial, self.chance.random(), Vec::new());
+        let held = Held { serial, lot, asked, end, dispatches, finished: false };
         if self.views.len() <= no.0 as usize {
             self.views.resize_with(no.0 as usize + 1, || None);
         }
@@ -519,29 +530,46 @@
 
     /// Rule 4: whether a cold member can take this work without any danger of falling over. The budget
     /// of a sliding window is what it surely has, times the multiple that it bears, times the window. Its
-    /// capacity is put low: what warm members lately did for this router, shared over all that are ready
-    /// or answered within two warm-up times, as the list may name one of a lost branch before the rest.
-    /// As every router counts only its own, the budgets add up to one. First tries count in part, for a
-    /// router just started; clients' repeats do not, as they swell after a loss.
-    fn bears(&self, member: &Member, work: f64) -> bool {
+    /// capacity is its size over the routers that reach it where sizes are told as such, and else put low:
+    /// what warm members lately did for this router, shared over all that are ready or answered within two
+    /// warm-up times, as the list may name one of a lost branch before the rest. As every router counts
+    /// only its own, the budgets add up to one. First tries count in part, for a router just started;
+    /// clients' repeats do not, as they swell after a loss. Where hundreds of routers share a budget, one's
+    /// part is less than a view: then what is wanted of it passes by lot, so often that all together stay
+    /// within it by what each sees wanted. Could harm where chance has many routers send at once.
+    fn bears(&self, member: &Member, work: f64, lot: u64) -> bool {
         let warmth = self.warmth(member);
         if warmth >= 1.0 {
             return true;
         }
         let asked = self.pace(&self.asked);
-        let (multiple, done, asked) = match member.tier {
-            Tier::Parent => ("parent_multiple", &self.fills, asked * 0.05),
-            _ => ("cold_multiple", &self.served, asked * 0.5),
+        let (multiple, done, least, routers) = match member.tier {
+            Tier::Parent => ("parent_multiple", &self.fills, asked * 0.05, "routers"),
+            _ => ("cold_multiple", &self.served, asked * 0.5, "routers_here"),
         };
         let since = self.now - self.span("warm_within", Span::secs(15.0)) * 2.0;
-        let part = f64::from(member.listed.size) / self.size(member.tier, since);
-        let bears = self.fact(multiple, 1.0) * self.pace(done).max(asked) * part;
+        let size = f64::from(member.listed.size);
+        let part = size / self.size(member.tier, since);
+        let bears = match self.fact("size_told", 0.0) > 0.0 {
+            true => size / self.fact(routers, 1.0).max(1.0),
+            false => self.pace(done).max(least) * part,
+        };
         let window = self.span("cold_window", Span::secs(1.0));
-        let spent: f64 = (member.drawn.iter())
-            .filter(|drawn| self.now.since(drawn.0) <= window)
-            .map(|drawn| drawn.1)
-            .sum();
-        spent == 0.0 || spent + work <= warmth * bears * window.as_secs() * 0.7
+        let budget = warmth * bears * self.fact(multiple, 1.0) * window.as_secs() * 0.7;
+        let drawn = member.drawn.iter().filter(|drawn| self.now.since(drawn.0) <= window);
+        let spent: f64 = drawn.map(|drawn| drawn.1).sum();
+        if budget >= work {
+            return spent + work <= budget;
+        }
+        // What is wanted of it in a window: by its share of all views at first, then as it was seen.
+        let other =
+            |m: &Member| m.listed.standing == Standing::Ready && self.warmth(m) >= 1.0 && !self.ill(m);
+        let share = if self.tier(member.tier).any(other) { warmth } else { 1.0 };
+        let seen = self.now.since(member.listed.started.unwrap_or_default()).min(window * 4.0);
+        let wanted = member.wanted.iter().filter(|wanted| self.now.since(wanted.0) <= seen);
+        let wanted = wanted.map(|wanted| wanted.1).sum::<f64>() + work;
+        let wanted = wanted / (seen.as_secs() + work / (asked * part * share).max(1e-6)) * window.as_secs();
+        spent == 0.0 && unit(mix(lot, member.listed.stable)) * wanted < budget * 0.7
     }
 
     /// How little a member suits a view: 0 is an ordinary one; among equals the hash order decides.
@@ -595,6 +623,29 @@
         member.tier == Tier::Cache && f64::from(member.out) >= self.limit(&member.loads, asked, 0.45).max(2.0)
     }
 
+    /// The member of a tier that suits a view best, with its penalty, and the better ones that rule 4 spares.
+    fn pick(&self, held: &Held, tier: Tier, hash: u64) -> (Option<(u32, CacheNo)>, Vec<CacheNo>) {
+        let work = self.mean_work(held.asked.offering);
+        let failed = |no| if tier == Tier::Parent { held.failed_at(no) } else { held.failed_in(no) };
+        let misfit = |no| (self.penalty(no, &held.asked, hash, failed(no)), no);
+        let mut ranked: Vec<_> = self.order(hash, tier).into_iter().map(misfit).collect();
+        ranked.sort_by_key(|ranked| ranked.0);
+        let first = ranked.iter().position(|ranked| self.bears(self.member(ranked.1), work, held.lot));
+        let spared = ranked[..first.unwrap_or(ranked.len())].iter().map(|ranked| ranked.1).collect();
+        (first.map(|first| ranked[first]), spared)
+    }
+
+    /// Counts a view that a cold member was first choice for.
+    fn want(&mut self, no: CacheNo, offering: u16) {
+        let (now, work, kept) =
+            (self.now, self.mean_work(offering), self.span("cold_window", Span::ZERO) * 4.0);
+        if !self.is_warm(no) {
+            let wanted = &mut self.member_mut(no).wanted;
+            wanted.retain(|wanted| now.since(wanted.0) <= kept);
+            wanted.push_back((now, work));
+        }
+    }
+
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
     fn route(&mut self, no: ViewNo) {
         let Some(held) = self.held(no) else { return };
@@ -607,22 +658,15 @@
         if let Some(origin) = origin.filter(|_| through && direct) {
             return self.send(no, origin, None, Filling::AsItComes);
         }
-        let tried = |cache: &CacheNo| {
-            let by_source = |d: &Dispatch| d.source.is_some_and(|source| held.failed_at(source));
-            let spent = |d: &Dispatch| d.cache == *cache && d.fills_misses() && !by_source(d);
-            held.dispatches.iter().any(spent)
-        };
         let missed = held.dispatches.last().filter(|d| !d.fills_misses()).map(|d| d.filling);
-        let work = self.mean_work(asked.offering);
-        let bearable = |cache: &CacheNo| self.bears(self.member(*cache), work);
         // Where every parent is left out or failed this view, the origin is its source: for parents lost
         // together; could harm an origin that made them fail, but that its fills stay limited.
-        let misfit = |no: CacheNo| (self.penalty(no, &asked, hash, held.failed_at(no)), no);
-        let parents = self.order(hash, Tier::Parent).into_iter().filter(bearable).map(misfit);
-        let parent = parents.min_by_key(|parent| parent.0).filter(|parent| parent.0 < 4 || origin.is_none());
+        let (parent, mut spared) = self.pick(held, Tier::Parent, hash);
+        let parent = parent.filter(|parent| parent.0 < 4 || origin.is_none());
         let mut source = parent.map(|parent| parent.1).or(origin);
-        let mut cache = (self.order(hash, Tier::Cache).into_iter().filter(bearable))
-            .min_by_key(|cache| self.penalty(*cache, &asked, hash, tried(cache)));
+        let (cache, spared_here) = self.pick(held, Tier::Cache, hash);
+        let mut cache = cache.map(|cache| cache.1);
+        spared.extend(spared_here);
         if plain {
             source = None;
         } else if through {
@@ -631,6 +675,7 @@
             // No cache of the location can take it: the parent answers by itself.
             cache = source;
         }
+        spared.into_iter().for_each(|no| self.want(no, asked.offering));
         // While fills come late, a view is first sent without one, or with only what the parent holds where
         // just the origin's come late: hits and joins are served as ever, and what surely misses is filled
         // within the limit or turned back. Guards the location's link, the parents and the origin from more
@@ -688,7 +733,7 @@
         let both_ready = ready(cache) && source.is_none_or(ready);
         // Rule 4: a cold cache or source is not pushed over.
         let work = self.mean_work(held.asked.offering);
-        let bears = |no: CacheNo| self.bears(self.member(no), work);
+        let bears = |no: CacheNo| self.bears(self.member(no), work, held.lot);
         let borne = bears(cache) && source.is_none_or(bears);
         if left < Span::millis(10)
             || !harmless
@@ -734,6 +779,7 @@
         let window = self.span("cold_window", Span::secs(1.0));
         for place in [Some(cache), source.filter(|s| *s != cache)].into_iter().flatten() {
             let cold = !self.is_warm(place);
+            self.want(place, offering);
             let member = self.member_mut(place);
             member.drawn.retain(|drawn| now.since(drawn.0) <= window);
             if cold {
