--- a/src/control.rs
+++ b/src/control.rs
@@ -51,6 +51,7 @@
 /// A hit as a sign of how full a cache is, or a fill as one of how full the way to it is.
 #[derive(Clone, Copy)]
 struct Load {
+    at: Moment,
     /// How many more like it were in hand here at the dispatch, with this one.
     held: f64,
     work: f64,
@@ -77,6 +78,18 @@
     wanted: VecDeque<(Moment, f64)>,
 }
 
+impl Member {
+    fn new(listed: Listed, tier: Tier, out: u32, heard: Moment) -> Self {
+        let (signs, gaps, loads) = (Samples::last(16), Samples::last(16), Samples::last(40));
+        let (drawn, wanted) = Default::default();
+        Self { listed, tier, signs, loads, out, heard, gaps, out_until: None, outages: 0, drawn, wanted }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.listed.standing == Standing::Ready
+    }
+}
+
 /// Whether a dispatch fills a miss: as it comes, not at all, only from what its source holds, or surely,
 /// as one of those two was a miss.
 #[derive(Clone, Copy, PartialEq)]
@@ -153,6 +166,8 @@
     /// The facts of each offering, by their names within it.
     offerings: Vec<Facts>,
     now: Moment,
+    /// How long samples of lateness count, ever less: the longest that a client waits, and again.
+    memory: Span,
     chance: Pcg64Mcg,
     /// By offering, hits of caches that had little else in hand: what sending takes by itself.
     easy: Vec<Samples<Span>>,
@@ -172,6 +187,8 @@
     /// First tries that came in.
     asked: Samples<(Moment, u16)>,
     sends: Samples<bool>,
+    /// The last hits of any cache of the location.
+    hits: Samples<Load>,
     /// The last fills from what a source held, and by way of the origin.
     fill_loads: [Samples<Load>; 2],
     /// Answers of dispatches that fill as it comes: by hit (0), source (1) or origin (2), and their time.
@@ -202,6 +219,7 @@
             facts,
             offerings: Vec::new(),
             now,
+            memory: Span::ZERO,
             chance: Pcg64Mcg::seed_from_u64(seed),
             easy: Vec::new(),
             members: Vec::new(),
@@ -216,6 +234,7 @@
             fills: Samples::last(128),
             asked: Samples::last(128),
             sends: Samples::last(64),
+            hits: Samples::last(40),
             fill_loads: [Samples::last(40), Samples::last(40)],
             filled: Samples::last(64),
             filling: [0.0; 4],
@@ -230,6 +249,7 @@
             };
             let own = control.facts.iter().filter_map(own).collect();
             control.offerings.push(own);
+            control.memory = control.memory.max(control.span_of(i as u16, "cut_off") * 2.0);
             control.easy.push(Samples::last(64));
         }
         if control.fact("list_on_request", 0.0) > 0.0 {
@@ -239,41 +259,32 @@
     }
 
     fn need(&self, name: &str) -> Result<f64, String> {
-        match self.facts.get(name) {
-            Some(Fact::Number(value)) => Ok(*value),
-            _ => Err(format!("{name} is not set")),
-        }
+        self.facts.get(name).and_then(Fact::number).ok_or_else(|| format!("{name} is not set"))
     }
 
     fn fact(&self, name: &str, default: f64) -> f64 {
-        self.need(name).unwrap_or(default)
+        self.facts.get(name).and_then(Fact::number).unwrap_or(default)
     }
 
     fn span(&self, name: &str, default: Span) -> Span {
-        self.need(name).map_or(default, |micros| Span::micros(micros as u64))
+        Span::micros(self.fact(name, default.as_micros() as f64) as u64)
     }
 
     /// A fact of an offering; nothing where it is not set.
     fn of(&self, offering: u16, what: &str) -> f64 {
-        match self.offerings[offering as usize].get(what) {
-            Some(Fact::Number(value)) => *value,
-            _ => 0.0,
-        }
+        self.offerings[offering as usize].get(what).and_then(Fact::number).unwrap_or_default()
     }
 
     fn span_of(&self, offering: u16, what: &str) -> Span {
         Span::micros(self.of(offering, what) as u64)
     }
 
-    fn is_repeatable(&self, offering: u16) -> bool {
-        self.word_of(offering, "effect") == "repeatable"
+    fn word_of(&self, offering: u16, what: &str) -> &str {
+        self.offerings[offering as usize].get(what).map_or("", Fact::word)
     }
 
-    fn word_of(&self, offering: u16, what: &str) -> &str {
-        match self.offerings[offering as usize].get(what) {
-            Some(Fact::Word(word)) => word,
-            _ => "",
-        }
+    fn is_repeatable(&self, offering: u16) -> bool {
+        self.word_of(offering, "effect") == "repeatable"
     }
 
     /// What the control acts through.
@@ -337,7 +348,7 @@
 
     /// How much those of a tier could do together that are ready or have answered since.
     fn size(&self, tier: Tier, since: Moment) -> f64 {
-        let counted = |m: &&Member| m.listed.standing == Standing::Ready || m.heard >= since;
+        let counted = |m: &&Member| m.is_ready() || m.heard >= since;
         self.tier(tier).filter(counted).map(|m| f64::from(m.listed.size)).sum::<f64>().max(1e-3)
     }
 
@@ -360,11 +371,7 @@
             };
             let known = self.members.get(line.cache.0 as usize);
             let out = known.map_or(0, |member| member.out);
-            let (signs, gaps, loads) = (Samples::last(16), Samples::last(16), Samples::last(40));
-            let (listed, heard, out_until, outages) = (*line, self.now, None, 0);
-            let (drawn, wanted) = Default::default();
-            let fresh =
-                Member { listed, tier, signs, loads, out, heard, gaps, out_until, outages, drawn, wanted };
+            let fresh = Member::new(*line, tier, out, self.now);
             match known.map(|member| (member.listed.started, member.tier)) {
                 None => self.members.push(fresh),
                 // Gone; its size and place still tell how the load was shared.
@@ -449,27 +456,49 @@
         easy.iter().map(|took| took.as_secs()).sum::<f64>() / easy.len() as f64
     }
 
-    /// How many views of an offering a cache, or fills the way in, may have in hand from here with it
-    /// still in time, as the last ones show. Sending slows down in proportion to what is in hand once a
-    /// link is full, so the number at which it gets too slow follows from the mean slowness and the mean
-    /// number. Answers overload, slow caches, parents and origins, full links and hot objects alike.
-    /// Could harm where lateness has a cause that does not grow with what is in hand.
-    fn limit(&self, loads: &Samples<Load>, asked: &Asked, calm: f64) -> f64 {
-        let (mut work, mut took, mut held, mut goal) = (0.0, 0.0, 0.0, 0.0);
-        for load in &loads.0 {
-            work += load.work;
-            took += load.took.as_secs();
-            held += load.held * load.work;
-            goal += load.goal;
+    /// What the last samples say together, the less the older: how much was in hand, how late the answers
+    /// were against their own goals, so that a small one with a long way does not count as slow, and how
+    /// much goal there was for work. Where there are few, the lateness leans on what is `usual` elsewhere.
+    fn strain(&self, loads: &Samples<Load>, last: usize, usual: f64) -> [f64; 3] {
+        let (mut count, mut work, mut took, mut held, mut goal) = (0.0, 1e-6, 0.0, 1e-6, 1e-6);
+        for load in loads.0.iter().rev().take(last) {
+            let weight = (1.0 - self.now.since(load.at).as_secs() / self.memory.as_secs()).max(0.0);
+            count += weight;
+            work += weight * load.work;
+            took += weight * load.took.as_secs();
+            held += weight * load.held * load.work;
+            goal += weight * load.goal;
         }
-        // Each answer is held against its own goal, so a small one with a long way does not count as slow.
-        if loads.0.len() < 8 || took < goal * calm {
-            return f64::INFINITY;
+        [held / work, (count * took / goal + 4.0 * usual) / (count + 4.0), goal / work]
+    }
+
+    /// How full a cache, or the way in for fills, is: at 1 or more a view would come late, as the last ones
+    /// show. Sending slows down in proportion to what is in hand once a link is full, so the number at
+    /// which it gets too slow follows from the mean slowness and the mean number. One of many routers sees
+    /// next to nothing of what is in hand: the more they are, the more the slowness alone decides, and by
+    /// lot, so that all together let in what comes in time. Answers overload, slow caches, parents and
+    /// origins, full links and hot objects alike. Could harm where lateness has a cause that does not grow
+    /// with what is in hand.
+    fn crowd(
+        &self,
+        [held, late, room]: [f64; 3],
+        asked: &Asked,
+        in_hand: f64,
+        calm: f64,
+        least: f64,
+        lot: u64,
+    ) -> f64 {
+        if late < calm {
+            return 0.0;
         }
         // What asks little work for its goal is let in longer, and what is told to ask much less long.
         let own = self.work(asked).max(0.001);
-        let room = (self.goal(asked.offering, own) / own) / (goal / work);
-        held / work * (0.5 * goal / took) * room.max(if asked.kb.is_some() { 0.5 } else { 1.0 })
+        let room =
+            (self.goal(asked.offering, own) / own / room).max(if asked.kb.is_some() { 0.5 } else { 1.0 });
+        let alone = 1.0 / self.fact("routers_here", 1.0).max(1.0);
+        let in_hand = in_hand + 1.0 - alone;
+        let full = (in_hand / held).powf(alone) * late / (0.5 * room) * unit(lot).powf(0.5 - 0.5 * alone);
+        full.min(in_hand / (least * alone))
     }
 
     /// The time in which an answer of so much work is in time.
@@ -479,9 +508,10 @@
 
     /// The fills in hand here over those that may be, so that one of the offering still comes in time:
     /// from what a source holds (0), or by the origin (1).
-    fn fill_crowd(&self, asked: &Asked, far: usize) -> f64 {
+    fn fill_crowd(&self, asked: &Asked, far: usize, lot: u64) -> f64 {
         let (calm, least) = [(0.45, 6.0), (0.6, 4.0)][far];
-        self.fills_in_hand(far) / self.limit(&self.fill_loads[far], asked, calm).max(least)
+        let strain = self.strain(&self.fill_loads[far], 40, 0.3);
+        self.crowd(strain, asked, self.fills_in_hand(far), calm, least, lot)
     }
 
     /// Fills in hand by estimate: of what fills as it comes, the part of the time that went to fills.
@@ -494,7 +524,7 @@
 
     /// Members of one tier in the order of the weighted rendezvous hash, best first.
     fn order(&self, hash: u64, tier: Tier) -> Vec<CacheNo> {
-        let ready = self.tier(tier).filter(|m| m.listed.standing == Standing::Ready);
+        let ready = self.tier(tier).filter(|m| m.is_ready());
         let score = |m: &Member| -unit(mix(m.listed.stable, hash)).ln() / f64::from(m.listed.size.max(1e-3));
         let mut scored: Vec<_> = ready.map(|m| (score(m), m.listed.cache)).collect();
         scored.sort_by(|a, b| a.partial_cmp(b).expect("hashes are numbers"));
@@ -562,8 +592,7 @@
             return spent + work <= budget;
         }
         // What is wanted of it in a window: by its share of all views at first, then as it was seen.
-        let other =
-            |m: &Member| m.listed.standing == Standing::Ready && self.warmth(m) >= 1.0 && !self.ill(m);
+        let other = |m: &Member| m.is_ready() && self.warmth(m) >= 1.0 && !self.ill(m);
         let share = if self.tier(member.tier).any(other) { warmth } else { 1.0 };
         let seen = self.now.since(member.listed.started.unwrap_or_default()).min(window * 4.0);
         let wanted = member.wanted.iter().filter(|wanted| self.now.since(wanted.0) <= seen);
@@ -573,7 +602,7 @@
     }
 
     /// How little a member suits a view: 0 is an ordinary one; among equals the hash order decides.
-    fn penalty(&self, no: CacheNo, asked: &Asked, hash: u64, tried: bool) -> u32 {
+    fn penalty(&self, no: CacheNo, asked: &Asked, hash: u64, tried: bool, lot: u64) -> u32 {
         let member = self.member(no);
         // Objects come back to a restarted member one by one, at every router the same ones.
         let away = unit(mix(hash, member.listed.stable.rotate_left(32)))
@@ -581,26 +610,20 @@
         u32::from(self.ill(member)) * 8
             + u32::from(tried) * 4
             + u32::from(away) * 2
-            + u32::from(self.crowded(member) || self.too_late(no, asked))
+            + u32::from(self.crowded(member) || self.too_late(no, asked, lot))
     }
 
     /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: as much less
     /// as its last fills took longer than the best parent's. Guards against slow, crowded and half-hung
     /// parents, not what slows all alike. Could harm where the better parent cannot take it all.
     fn fitness(&self, member: &Member) -> f64 {
-        let pressure = |m: &Member| match m.loads.0.len() {
-            0..6 => 0.3,
-            _ => {
-                let last = m.loads.0.iter().rev().take(12);
-                let sum = last.fold((0.0, 0.0), |sum, l| (sum.0 + l.took.as_secs(), sum.1 + l.goal));
-                sum.0 / sum.1
-            }
-        };
+        let usual = self.strain(&self.fill_loads[0], 40, 0.3)[1];
+        let pressure = |m: &Member| self.strain(&m.loads, 12, usual)[1];
         let own = pressure(member);
         if member.tier != Tier::Parent || own <= 0.45 {
             return 1.0;
         }
-        let ready = self.tier(member.tier).filter(|m| m.listed.standing == Standing::Ready);
+        let ready = self.tier(member.tier).filter(|m| m.is_ready());
         let best = ready.map(pressure).fold(own, f64::min);
         if own > 2.0 * best { (best / own).max(0.1) } else { 1.0 }
     }
@@ -618,16 +641,19 @@
     }
 
     /// Whether a view would come late from a cache with that much in hand.
-    fn too_late(&self, cache: CacheNo, asked: &Asked) -> bool {
+    fn too_late(&self, cache: CacheNo, asked: &Asked, lot: u64) -> bool {
         let member = self.member(cache);
-        member.tier == Tier::Cache && f64::from(member.out) >= self.limit(&member.loads, asked, 0.45).max(2.0)
+        let usual = self.strain(&self.hits, 40, 0.3)[1];
+        let strain = self.strain(&member.loads, 40, usual);
+        member.tier == Tier::Cache
+            && self.crowd(strain, asked, f64::from(member.out), 0.45, 2.0, mix(lot, 1)) >= 1.0
     }
 
     /// The member of a tier that suits a view best, with its penalty, and the better ones that rule 4 spares.
     fn pick(&self, held: &Held, tier: Tier, hash: u64) -> (Option<(u32, CacheNo)>, Vec<CacheNo>) {
         let work = self.mean_work(held.asked.offering);
         let failed = |no| if tier == Tier::Parent { held.failed_at(no) } else { held.failed_in(no) };
-        let misfit = |no| (self.penalty(no, &held.asked, hash, failed(no)), no);
+        let misfit = |no| (self.penalty(no, &held.asked, hash, failed(no), held.lot), no);
         let mut ranked: Vec<_> = self.order(hash, tier).into_iter().map(misfit).collect();
         ranked.sort_by_key(|ranked| ranked.0);
         let first = ranked.iter().position(|ranked| self.bears(self.member(ranked.1), work, held.lot));
@@ -649,7 +675,7 @@
     /// Picks the cache and the source of a view and dispatches it, or gives it up.
     fn route(&mut self, no: ViewNo) {
         let Some(held) = self.held(no) else { return };
-        let asked = held.asked;
+        let (asked, lot) = (held.asked, held.lot);
         let through = self.of(asked.offering, "runs_at_origin") > 0.0;
         let direct = self.fact("direct", 0.0) > 0.0;
         let hash = mix(asked.object, u64::from(asked.part));
@@ -680,7 +706,7 @@
         // just the origin's come late: hits and joins are served as ever, and what surely misses is filled
         // within the limit or turned back. Guards the location's link, the parents and the origin from more
         // fills than come in time, whatever made them late. Acts at four fifths of the limit.
-        let [near, far] = [0, 1].map(|far| self.fill_crowd(&asked, far));
+        let [near, far] = [0, 1].map(|far| self.fill_crowd(&asked, far, lot));
         let filling = match (cache, missed) {
             _ if plain || through || cache == source => Filling::AsItComes,
             (_, Some(_)) if near >= 1.0 => return self.give_up(no),
@@ -691,7 +717,7 @@
             _ => Filling::Surely,
         };
         match cache {
-            Some(cache) if !self.too_late(cache, &asked) => {
+            Some(cache) if !self.too_late(cache, &asked, lot) => {
                 let source = if filling == Filling::Not { Some(cache) } else { source };
                 self.send(no, cache, source, filling)
             }
@@ -729,19 +755,14 @@
         let open = held.open().count();
         let alone = open == 0 || (second_copies && open == 1 && self.is_repeatable(offering));
         // Rule 3: a cache that drains or is gone gets nothing, be it as cache or as source.
-        let ready = |no: CacheNo| self.member(no).listed.standing == Standing::Ready;
+        let ready = |no: CacheNo| self.member(no).is_ready();
         let both_ready = ready(cache) && source.is_none_or(ready);
         // Rule 4: a cold cache or source is not pushed over.
         let work = self.mean_work(held.asked.offering);
         let bears = |no: CacheNo| self.bears(self.member(no), work, held.lot);
         let borne = bears(cache) && source.is_none_or(bears);
-        if left < Span::millis(10)
-            || !harmless
-            || !alone
-            || !both_ready
-            || !borne
-            || held.dispatches.len() >= most
-        {
+        let early = left >= Span::millis(10) && held.dispatches.len() < most;
+        if !(early && harmless && alone && both_ready && borne) {
             return self.give_up(no);
         }
         // Rule 5: the oldest copy allowed is younger than the newest purge that this router knows of.
@@ -751,7 +772,7 @@
         let retry = held.dispatches.iter().any(Dispatch::fills_misses);
         // A copy past its fresh time earns less: for when a dispatch has failed or no more fills are let in.
         let fresh = self.span_of(offering, "fresh");
-        let scarce = [0, 1].into_iter().any(|far| self.fill_crowd(&held.asked, far) >= 1.0);
+        let scarce = [0, 1].into_iter().any(|far| self.fill_crowd(&held.asked, far, held.lot) >= 1.0);
         let limit = match (fresh, retry || scarce) {
             (Span::ZERO, _) => None,
             (fresh, false) => since_purge.map(|_| fresh),
@@ -855,7 +876,7 @@
         let now = self.now;
         let member = self.member(no);
         let all = self.size(member.tier, now + Span::millis(1));
-        let ready = self.tier(member.tier).filter(|m| m.listed.standing == Standing::Ready);
+        let ready = self.tier(member.tier).filter(|m| m.is_ready());
         let left_out = ready.filter(|m| m.out_until.is_some() || m.listed.cache == no);
         let out: f64 = left_out.map(|m| f64::from(m.listed.size)).sum();
         if out > all * 0.6 || member.out_until.is_some_and(|until| until > now) {
@@ -879,7 +900,7 @@
         if member.tier == Tier::Origin {
             return;
         }
-        let fit = |m: &&Member| m.listed.standing == Standing::Ready && m.out_until.is_none();
+        let fit = |m: &&Member| m.is_ready() && m.out_until.is_none();
         let peers = self.tier(member.tier).filter(fit).filter(|m| m.listed.cache != no);
         let (mut peer_bad, mut peer_all) = (0.0, 0.0);
         for peer in peers {
@@ -921,7 +942,7 @@
         let way = match note {
             Note::Filled => 1,
             Note::FilledByOrigin | Note::OriginFailed => 2,
-            _ if late => 1 + usize::from(self.facts.get("notes") == Some(&Fact::Word("all".into()))),
+            _ if late => 1 + usize::from(self.facts.get("notes").is_some_and(|notes| notes.word() == "all")),
             _ => 0,
         };
         if verdict == Verdict::Done && filling == Filling::AsItComes {
@@ -929,11 +950,11 @@
         }
         if let Some(source) = source.filter(|s| *s != cache && (way == 1 || late)) {
             let source = self.member_mut(source);
-            source.loads.add(Load { held: 1.0, work, goal, took });
+            source.loads.add(Load { at: now, held: 1.0, work, goal, took });
             source.heard = if late { source.heard } else { now };
         }
         if way > 0 {
-            self.fill_loads[way - 1].add(Load { held: fills[way - 1], work, goal, took });
+            self.fill_loads[way - 1].add(Load { at: now, held: fills[way - 1], work, goal, took });
         }
         // A hit drew nothing from its source's budget.
         let hit = matches!(note, Note::Hit | Note::Joined | Note::OldCopy);
@@ -941,8 +962,10 @@
             self.member_mut(source).drawn.retain(|drawn| (drawn.2, drawn.3) != (serial, nth));
         }
         if matches!(note, Note::Hit | Note::OldCopy) {
-            self.member_mut(cache).loads.add(Load { held: load, work, goal, took });
-            if load <= 3.0 {
+            let load = Load { at: now, held: load, work, goal, took };
+            self.member_mut(cache).loads.add(load);
+            self.hits.add(load);
+            if load.held <= 3.0 {
                 self.easy[asked.offering as usize].add(took);
             }
         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -24,6 +24,23 @@
     Word(String),
 }
 
+impl Fact {
+    pub fn number(&self) -> Option<f64> {
+        match self {
+            Self::Number(value) => Some(*value),
+            Self::Word(_) => None,
+        }
+    }
+
+    /// The word; empty for a number.
+    pub fn word(&self) -> &str {
+        match self {
+            Self::Number(_) => "",
+            Self::Word(word) => word,
+        }
+    }
+}
+
 /// What a view asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
