--- a/src/control.rs
+++ b/src/control.rs
@@ -478,7 +478,7 @@
         }
         // What asks little work for its goal is let in longer, and what is told to ask much less long.
         let own = self.work(&view.asked).max(0.001);
-        let least_room = if view.asked.kb.is_some() { 0.5 } else { 1.0 };
+        let least_room = 0.5;
         let room = (self.goal(view.asked.offering, own) / own / room).max(least_room);
         let alone = 1.0 / self.fact("routers_here", 1.0).max(1.0);
         let hand = hand + 1.0 - alone;
