Turn back earlier what asks much work for its goal, also where sizes are not told

Symptom: a lessons incident at size (128 routers), 30% late, video only. Cause, by a tap: hits of video took 0.8 s in the median, assets 0.05 s; both share one bound, and the clip that kept untold sizes from an earlier bound held video at the mean of both. Parents answered in 23 ms and the origin in 88 ms, so neither they nor the links were it. Change: the clip is the same whether sizes are told or not (one case less). Could harm where an offering's large objects are few and its small ones many.

--- a/src/control.rs
+++ b/src/control.rs
@@ -476,10 +476,9 @@
         if late < calm {
             return 0.0;
         }
-        // What asks little work for its goal is let in longer, and what is told to ask much less long.
+        // What asks little work for its goal is let in longer, and what asks much less long.
         let own = self.work(&view.asked).max(0.001);
-        let least_room = 0.5;
-        let room = (self.goal(view.asked.offering, own) / own / room).max(least_room);
+        let room = (self.goal(view.asked.offering, own) / own / room).max(0.5);
         let alone = 1.0 / self.fact("routers_here", 1.0).max(1.0);
         let hand = hand + 1.0 - alone;
         let full = (hand / held).powf(alone) * late / (0.5 * room) * unit(view.lot).powf(0.5 - 0.5 * alone);
