Where its cache would answer late, a view goes straight to a calm parent

Cause, by a tap: its hits took 0.44 s, so its limit was closed, while parents answered in 17 ms. Change: where the site allows it, a view goes straight to its parent where its cache would be late and the parent's last answers took under 0.45 of their goals; the same exception as for a location without caches. Its direct answers count for the parent's own lateness. Could harm a parent that many locations turn to at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -282,10 +282,6 @@
         self.offerings[offering as usize].get(what).map_or("", Fact::word)
     }
 
-    fn is_repeatable(&self, offering: u16) -> bool {
-        self.word_of(offering, "effect") == "repeatable"
-    }
-
     /// What the control acts through.
     pub fn host(&mut self) -> &mut H {
         &mut self.host
@@ -427,9 +423,7 @@
 
     /// A streamed answer began: the dispatch belongs to the client now.
     pub fn started(&mut self, no: ViewNo) {
-        if let Some(held) = self.held_mut(no) {
-            held.finished = true;
-        }
+        self.held_mut(no).into_iter().for_each(|held| held.finished = true);
     }
 
     /// What a view will cost in sending time: by its size where that is told, else by its offering's hits.
@@ -662,18 +656,25 @@
             Some(parent) if !through => Some(parent.1),
             _ => origin,
         };
-        // Where no cache of the location can take it, the parent answers by itself.
-        let cache = cache.map(|cache| cache.1).or(source.filter(|_| direct && !through));
+        // Where no cache of the location can take it, the parent answers by itself; where one would just be
+        // late, a calm parent does. Could harm a parent that many locations turn to at once.
+        let calm = |no: &CacheNo| self.strain(&self.member(*no).loads, 12, 0.3)[1] < 0.45;
+        let straight = source.filter(|_| direct && !through);
+        let cache = match cache.map(|cache| cache.1) {
+            Some(cache) if !self.too_late(self.member(cache), held) => Some(cache),
+            late => straight.filter(|no| late.is_none() || calm(no)),
+        };
         // While fills come late, a view is first sent without one, or with only what the parent holds where
         // just the origin's come late: hits and joins are served as ever; what surely misses is filled within
         // the limit or turned back. Guards the link, the parents and the origin, whatever made them late.
         let [near, far] = [0, 1].map(|far| self.fill_crowd(held, far));
         // Where notes do not tell the origin's fills apart, half being quick shows that just those are late.
         let told = self.facts.get("notes").is_some_and(|notes| notes.word() == "all");
-        let usual = self.fill_loads[0].quantile(0.5, |load| load.took.as_secs() / load.goal);
-        let just_origin = !told && usual.is_some_and(|usual| usual < 0.45);
+        let half = self.fill_loads[0].quantile(0.5, |load| load.took.as_secs() / load.goal);
+        let just_origin = !told && half.is_some_and(|half| half < 0.45);
         let filling = match (cache, missed) {
-            _ if plain || through || cache == source => Filling::AsItComes,
+            _ if plain || through => Filling::AsItComes,
+            _ if cache == source && near < 1.0 => Filling::AsItComes,
             (_, Some(_)) if near >= 1.0 => return self.give_up(no),
             (_, Some(Filling::IfHeld)) if far >= 1.0 => return self.give_up(no),
             (_, None) if near > 0.8 && just_origin => Filling::IfHeld,
@@ -682,8 +683,6 @@
             (_, None) => Filling::AsItComes,
             _ => Filling::Surely,
         };
-        let in_time = |no: &CacheNo| Some(*no) == source || !self.too_late(self.member(*no), held);
-        let cache = cache.filter(in_time);
         spared.into_iter().for_each(|no| self.draw(no, asked.offering, None));
         match cache {
             Some(cache) if filling == Filling::Not => self.send(no, cache, Some(cache), filling),
@@ -713,7 +712,7 @@
             _ => false,
         };
         let open = held.open().count();
-        let second = self.fact("second_copies", 0.0) > 0.0 && open == 1 && self.is_repeatable(offering);
+        let second = open == 1 && self.fact("second_copies", 0.0) > 0.0 && word("effect") == "repeatable";
         // Rule 3: a cache that drains or is gone gets nothing, be it as cache or as source.
         let both_ready = [Some(cache), source].into_iter().flatten().all(|no| self.member(no).is_ready());
         // Rule 4: a cold cache or source is not pushed over.
@@ -801,13 +800,11 @@
         // A cache that takes views and answers none: it is left before its views' time-outs. Guards
         // against hangs, long pauses and lost answers; harms where a few huge objects are all it holds.
         let alternative = self.order(0, Tier::Cache).len() > 1;
-        let repeatable = self.is_repeatable(held.asked.offering);
+        let repeatable = self.word_of(held.asked.offering, "effect") == "repeatable";
         let hung = over && silent >= hush && member.out >= 3 && alternative && repeatable;
         if hung && self.fact("calling_off", 0.0) > 0.0 {
             self.leave_out(cache);
-            if let Some(held) = self.held_mut(no) {
-                held.dispatches[nth].called_off = true;
-            }
+            self.held_mut(no).into_iter().for_each(|held| held.dispatches[nth].called_off = true);
             return self.host.call_off(no, nth as u16);
         }
         self.alarm(self.now + hush * 0.5, no);
@@ -907,8 +904,9 @@
             let load = Load { at: now, held: load, work, goal, took };
             self.member_mut(cache).loads.add(load);
             self.hits.add(load);
+            let calm = self.strain(&self.hits, 40, 0.3)[1] < 0.6;
             // What slows all alike is no sending time; could harm where all objects grow at once.
-            if load.held <= 3.0 && self.strain(&self.hits, 40, 0.3)[1] < 0.6 {
+            if load.held <= 3.0 && calm && self.member(cache).tier == Tier::Cache {
                 self.easy[asked.offering as usize].add(took);
             }
         }
