Weigh lateness by the time that a sample stands for

Symptom: a river incident at size (446 routers, 347 caches, twice the views for five seconds), then nearly half turned back for five seconds with 3% late; the same after a slow library. Cause: hundreds of late samples of the rush stand against the few that are let in after it, though these span as much time. Change: in the lateness each sample weighs by the time since the one before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -40,8 +40,7 @@
 
 #[derive(Clone, Copy, PartialEq)]
 enum Tier {
-    /// A cache of the own location.
-    Cache,
+    Cache, // of the own location
     Parent,
     Origin,
     Elsewhere,
@@ -441,20 +440,22 @@
         if easy.len() < 4 { goal } else { mean.min(goal) }
     }
 
-    /// What the last samples say together, the less the older: how much was in hand, how late the answers
-    /// were against their own goals, so that a small one with a long way does not count as slow, and how
-    /// much goal there was for work. Where there are few, the lateness leans on what is `usual` elsewhere.
+    /// What the last samples say together, the less the older: how much was in hand, how late answers were
+    /// against their own goals, leaning on what is `usual` where there are few, and what goal work had.
     fn strain(&self, loads: &Samples<Load>, last: usize, usual: f64) -> [f64; 3] {
-        let (mut count, mut work, mut took, mut held, mut goal) = (0.0, 1e-6, 0.0, 1e-6, 1e-6);
-        for load in loads.0.iter().rev().take(last) {
-            let weight = (1.0 - self.now.since(load.at).as_secs() / self.memory.as_secs()).max(0.0);
-            count += weight;
-            work += weight * load.work;
-            took += weight * load.took.as_secs().min(3.0 * load.goal);
-            held += weight * load.held * load.work;
-            goal += weight * load.goal;
-        }
-        [held / work, (count * took / goal + 2.0 * usual) / (count + 2.0), goal / work]
+        let [mut count, mut took, mut work, mut held, mut goal, mut due] = [0.0, 0.0, 1e-6, 1e-6, 1e-6, 1e-6];
+        for (load, before) in loads.0.iter().rev().zip(loads.0.iter().rev().skip(1)).take(last) {
+            let fresh = (1.0 - self.now.since(load.at).as_secs() / self.memory.as_secs()).max(0.0);
+            count += fresh;
+            work += fresh * load.work;
+            held += fresh * load.held * load.work;
+            goal += fresh * load.goal;
+            // Each stands for the time since the one before: the few let in after a rush outweigh it.
+            let spell = fresh * load.at.since(before.at).as_secs().max(0.001);
+            took += spell * load.took.as_secs().min(3.0 * load.goal);
+            due += spell * load.goal;
+        }
+        [held / work, (count * took / due + 2.0 * usual) / (count + 2.0), goal / work]
     }
 
     /// How full a cache, or the way in for fills, is: at 1 or more a view would come late, as the last show.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -433,6 +433,23 @@
     assert!(straight[0] > 40 && straight[1] < straight[0] / 2, "{straight:?} of 150 each");
 }
 
+#[test]
+fn the_few_views_let_in_after_a_rush_outweigh_the_rush() {
+    let mut r = router(&fleet(), &[("routers_here", 12.0), ("direct", 0.0)]);
+    r.quiet(40, Note::Hit, 30);
+    let mut turned_back = [0; 3];
+    for object in 0..400 {
+        let rush = object < 200;
+        let acts = r.view(0, object);
+        match acts[..] {
+            [Act::Read { .. }] => drop(r.end(0, Verdict::Done, Note::Hit, if rush { 900 } else { 30 })),
+            _ => turned_back[object as usize / 200 + object as usize / 300] += 1,
+        }
+        r.wait(if rush { 10 } else { 60 });
+    }
+    assert!(turned_back[0] > 60 && turned_back[1] < 50 && turned_back[2] < 5, "{turned_back:?}");
+}
+
 #[test]
 fn a_router_started_beside_a_cold_branch_does_not_starve_it() {
     let cold: Vec<Listed> =
