--- a/crates/benchlink/src/facts.rs
+++ b/crates/facts/src/lib.rs
@@ -1,4 +1,5 @@
-//! Translates the wire's settings into the names that the decisions know.
+//! Translates the settings of a deployment, as JSON, into the facts that the decisions know by name.
+//! The simulator's adapter and the router on sockets both use it.
 
 use anyhow::{Context, Result, ensure};
 use serde_json::Value;
@@ -69,8 +70,12 @@
 }
 
 /// Reads settings as JSON text; what is unknown is left out.
-pub fn translate(text: &[u8]) -> Result<Facts> {
-    let settings: Value = serde_json::from_slice(text).context("not JSON")?;
+pub fn from_text(text: &[u8]) -> Result<Facts> {
+    from_json(&serde_json::from_slice(text).context("not JSON")?)
+}
+
+/// The same from settings that are parsed already.
+pub fn from_json(settings: &Value) -> Result<Facts> {
     ensure!(settings.is_object(), "not a JSON object");
     let classes = settings.get("request_classes").and_then(Value::as_array);
     let classes = classes.context("request_classes is missing")?;
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,136 @@
+//! Requests to caches and the heads of their answers: HTTP/1.1, one request at a time on a connection.
+//! Nothing here does I/O.
+
+use std::fmt::Write;
+
+/// A request to a cache. The texts go on as they came; the caller has seen to it that they are plain.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ask<'a> {
+    pub offering: &'a str,
+    pub object: &'a str,
+    pub part: &'a str,
+    pub ticket: &'a str,
+    pub wait_ms: u64,
+    pub nonce: Option<&'a str>,
+    pub source: Option<&'a str>,
+    pub rank: u8,
+    pub oldest_ms: Option<u64>,
+    pub join: bool,
+    pub only_held: bool,
+    pub renew: bool,
+    pub client_tag: Option<&'a str>,
+    pub body: usize,
+}
+
+impl Ask<'_> {
+    /// The head of the request; the body, if there is one, follows it as it came.
+    pub fn head(&self) -> String {
+        let mut out = String::with_capacity(320);
+        let method = if self.body > 0 { "POST" } else { "GET" };
+        let Self { offering, object, part, ticket, wait_ms, .. } = self;
+        let _ = write!(
+            out,
+            "{method} /v1/store/{offering}/{object}/{part} HTTP/1.1\r\nHost: cache\r\n\
+             X-Ticket: {ticket}\r\nX-Max-Ms: {wait_ms}\r\n"
+        );
+        let texts = [("X-Nonce", self.nonce), ("X-Source", self.source), ("X-Client-Tag", self.client_tag)];
+        for (name, value) in texts.into_iter().filter_map(|(name, value)| Some((name, value?))) {
+            let _ = write!(out, "{name}: {value}\r\n");
+        }
+        if self.rank > 0 {
+            let _ = write!(out, "X-Tier: {}\r\n", self.rank);
+        }
+        if let Some(oldest) = self.oldest_ms {
+            let _ = write!(out, "X-Accept-Age: {oldest}\r\n");
+        }
+        let words = [(self.join, "j"), (self.only_held, "h"), (self.renew, "r")];
+        let words: Vec<&str> = words.iter().filter(|word| word.0).map(|word| word.1).collect();
+        if !words.is_empty() {
+            let _ = write!(out, "X-Mode: {}\r\n", words.join("+"));
+        }
+        if self.body > 0 {
+            let _ = write!(out, "Content-Length: {}\r\n", self.body);
+        }
+        out.push_str("\r\n");
+        out
+    }
+}
+
+/// What an answer says before its body.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// How many bytes it takes itself.
+    pub size: usize,
+    pub status: u16,
+    /// How many bytes of body follow.
+    pub length: usize,
+    /// `X-Shed: 1`: it never ran.
+    pub shed: bool,
+    /// `X-Remark`, as it stands.
+    pub remark: Option<String>,
+    /// The connection ends with this answer.
+    pub closes: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    #[error("the head is over the limit")]
+    LongHead,
+    #[error("the status line can't be read")]
+    Status,
+    #[error("a header can't be read")]
+    Header,
+    #[error("no length of the body is given, or one that can't be used")]
+    Length,
+    #[error("the body is over the limit")]
+    LongBody,
+}
+
+/// Reads the head of an answer at the start of `read`; none while it is not all there.
+pub fn head(read: &[u8], longest_head: usize, longest_body: usize) -> Result<Option<Head>, Fault> {
+    let Some(end) = read.windows(4).position(|window| window == b"\r\n\r\n") else {
+        return if read.len() > longest_head { Err(Fault::LongHead) } else { Ok(None) };
+    };
+    if end + 4 > longest_head {
+        return Err(Fault::LongHead);
+    }
+    let text = std::str::from_utf8(&read[..end]).map_err(|_| Fault::Header)?;
+    let mut lines = text.split("\r\n");
+    let status = lines.next().and_then(|line| line.strip_prefix("HTTP/1.1 ")).ok_or(Fault::Status)?;
+    let digits = status.get(..3).filter(|d| d.bytes().all(|b| b.is_ascii_digit())).ok_or(Fault::Status)?;
+    if !matches!(status.as_bytes().get(3), None | Some(b' ')) {
+        return Err(Fault::Status);
+    }
+    let status: u16 = digits.parse().map_err(|_| Fault::Status)?;
+    let mut head = Head { size: end + 4, status, length: 0, shed: false, remark: None, closes: false };
+    let mut length: Option<usize> = None;
+    for line in lines {
+        let (name, value) = line.split_once(':').ok_or(Fault::Header)?;
+        let value = value.trim_matches([' ', '\t']);
+        if name.is_empty() || name.contains([' ', '\t', '\r', '\n']) || value.contains(['\r', '\n']) {
+            return Err(Fault::Header);
+        }
+        let is = |other: &str| name.eq_ignore_ascii_case(other);
+        if is("Content-Length") {
+            let plain = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+            let given = value.parse().ok().filter(|_| plain).ok_or(Fault::Length)?;
+            if length.is_some_and(|length| length != given) {
+                return Err(Fault::Length);
+            }
+            length = Some(given);
+        } else if is("Transfer-Encoding") {
+            return Err(Fault::Length);
+        } else if is("X-Shed") {
+            head.shed = value == "1";
+        } else if is("X-Remark") {
+            head.remark = Some(value.to_string());
+        } else if is("Connection") {
+            head.closes = value.eq_ignore_ascii_case("close");
+        }
+    }
+    // These two never have a body, whatever the length says.
+    if !matches!(status, 204 | 304) {
+        head.length = length.ok_or(Fault::Length)?;
+    }
+    if head.length > longest_body { Err(Fault::LongBody) } else { Ok(Some(head)) }
+}
--- /dev/null
+++ b/crates/router/src/caches.rs
@@ -0,0 +1,348 @@
+//! Connections to caches, parents and the origin, and one exchange on them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_io::Async;
+use bytes::{Bytes, BytesMut};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use tindoor::host::{CacheNo, Note, Standing, Verdict};
+
+use crate::limits::{Limits, within};
+
+/// A connection that counts against the limit as long as it lives.
+struct Link {
+    stream: Async<TcpStream>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+struct Cache {
+    id: String,
+    address: Option<SocketAddr>,
+    standing: Standing,
+    /// Changes with every change of the cache's line: what was ordered before is no longer sure.
+    life: u64,
+    idle: Vec<(Link, Instant)>,
+}
+
+/// Every cache that was ever listed, by its number.
+pub struct Caches {
+    limits: Limits,
+    known: RefCell<Known>,
+    open: Rc<Cell<usize>>,
+    /// Counts purges: what was ordered before one may ask for too old a copy.
+    purges: Cell<u64>,
+}
+
+#[derive(Default)]
+struct Known {
+    caches: Vec<Cache>,
+    numbers: HashMap<String, u32>,
+}
+
+/// What was known when a dispatch was ordered.
+#[derive(Clone, Copy, PartialEq)]
+pub struct Outlook {
+    cache: u64,
+    source: u64,
+    purges: u64,
+}
+
+/// How a dispatch ended, with what it brought.
+pub struct End {
+    pub verdict: Verdict,
+    pub note: Note,
+    /// The client's copy is the one.
+    pub valid: bool,
+    pub body: Bytes,
+}
+
+impl End {
+    pub fn without(verdict: Verdict) -> Self {
+        Self { verdict, note: Note::Untold, valid: false, body: Bytes::new() }
+    }
+}
+
+/// Bytes that stand for a part of the memory, given back once they are gone.
+pub struct Held {
+    budget: Rc<Budget>,
+    size: usize,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.budget.free.set(self.budget.free.get() + self.size);
+    }
+}
+
+/// The memory that bodies may take together.
+pub struct Budget {
+    free: Cell<usize>,
+}
+
+impl Budget {
+    pub fn new(size: usize) -> Rc<Self> {
+        Rc::new(Self { free: Cell::new(size) })
+    }
+
+    pub fn take(self: &Rc<Self>, size: usize) -> Option<Held> {
+        let free = self.free.get().checked_sub(size)?;
+        self.free.set(free);
+        Some(Held { budget: Rc::clone(self), size })
+    }
+}
+
+impl Caches {
+    pub fn new(limits: Limits) -> Self {
+        Self { limits, known: RefCell::default(), open: Rc::default(), purges: Cell::new(0) }
+    }
+
+    /// A line of the list: gives the cache's number, the same for as long as the router lives.
+    pub fn listed(&self, id: &str, address: Option<SocketAddr>, standing: Standing) -> CacheNo {
+        let known = &mut *self.known.borrow_mut();
+        let no = match known.numbers.get(id) {
+            Some(no) => *no,
+            None => {
+                let no = known.caches.len() as u32;
+                let cache = Cache { id: id.to_string(), address, standing, life: 0, idle: Vec::new() };
+                known.caches.push(cache);
+                known.numbers.insert(id.to_string(), no);
+                no
+            }
+        };
+        let cache = &mut known.caches[no as usize];
+        if cache.standing != standing || cache.address != address {
+            cache.life += 1;
+            // Whoever answers there next, it is not the one that these were made to.
+            cache.idle.clear();
+        }
+        (cache.standing, cache.address) = (standing, address);
+        CacheNo(no)
+    }
+
+    /// The whole list came: what it does not name is gone.
+    pub fn gone_but(&self, named: &[CacheNo]) {
+        for (no, cache) in self.known.borrow_mut().caches.iter_mut().enumerate() {
+            if !named.contains(&CacheNo(no as u32)) && cache.standing != Standing::Gone {
+                (cache.standing, cache.life) = (Standing::Gone, cache.life + 1);
+                cache.idle.clear();
+            }
+        }
+    }
+
+    pub fn purged(&self) {
+        self.purges.set(self.purges.get() + 1);
+    }
+
+    pub fn id(&self, no: CacheNo) -> String {
+        self.known.borrow().caches[no.0 as usize].id.clone()
+    }
+
+    pub fn outlook(&self, cache: CacheNo, source: Option<CacheNo>) -> Outlook {
+        let known = self.known.borrow();
+        let life = |no: CacheNo| known.caches[no.0 as usize].life;
+        Outlook { cache: life(cache), source: source.map_or(0, life), purges: self.purges.get() }
+    }
+
+    /// Drops idle connections that are too old or were closed by the cache.
+    pub fn sweep(&self) {
+        for cache in &mut self.known.borrow_mut().caches {
+            cache.idle.retain(|(link, since)| since.elapsed() < self.limits.cache_idle && is_quiet(link));
+        }
+    }
+
+    fn take_idle(&self, no: CacheNo) -> Option<Link> {
+        let mut known = self.known.borrow_mut();
+        let idle = &mut known.caches[no.0 as usize].idle;
+        while let Some((link, since)) = idle.pop() {
+            // One that its cache has closed, or that says something unasked, is not used.
+            if since.elapsed() < self.limits.cache_idle && is_quiet(&link) {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// A new connection; the end of the dispatch where there can be none.
+    async fn connect(&self, no: CacheNo) -> Result<Link, Verdict> {
+        let address = self.known.borrow().caches[no.0 as usize].address;
+        let Some(address) = address else { return Err(Verdict::Unreachable) };
+        if self.open.get() >= self.limits.cache_connections && !self.close_oldest_idle() {
+            tracing::warn!(limit = self.limits.cache_connections, "connections to caches are used up");
+            return Err(Verdict::Moot);
+        }
+        // Counted from here on, so that connects under way stay within the limit, too.
+        self.open.set(self.open.get() + 1);
+        let counted = Counted(Some(Rc::clone(&self.open)));
+        match within(self.limits.connect, Async::<TcpStream>::connect(address)).await {
+            Ok(stream) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                Ok(Link { stream, open: counted.keep() })
+            }
+            Err(error) => {
+                tracing::debug!(cache = %address, %error, "no connection");
+                let short = matches!(error.raw_os_error(), Some(23 | 24 | 99 | 105));
+                Err(if short { Verdict::Moot } else { Verdict::Unreachable })
+            }
+        }
+    }
+
+    fn close_oldest_idle(&self) -> bool {
+        let mut known = self.known.borrow_mut();
+        let idle = known.caches.iter_mut().filter(|cache| !cache.idle.is_empty());
+        let oldest = idle.min_by_key(|cache| cache.idle[0].1);
+        oldest.map(|cache| cache.idle.remove(0)).is_some()
+    }
+
+    /// Sends one request to a cache and reads its answer whole. `head` writes the request as it goes out,
+    /// and gives nothing where too much has changed or too little time is left to send it at all.
+    pub async fn exchange(
+        &self,
+        no: CacheNo,
+        head: impl Fn() -> Option<String>,
+        body: &Bytes,
+        budget: &Rc<Budget>,
+        sent: &Cell<bool>,
+    ) -> (End, Option<Held>) {
+        loop {
+            let (mut link, reused) = match self.take_idle(no) {
+                Some(link) => (link, true),
+                None => match self.connect(no).await {
+                    Ok(link) => (link, false),
+                    Err(verdict) => return (End::without(verdict), None),
+                },
+            };
+            // A connection that came up late must not carry a send past a drain, a purge or its own time.
+            let Some(head) = head() else { return (End::without(Verdict::Moot), None) };
+            match link.stream.write(head.as_bytes()).await {
+                // Nothing left here: the cache closed an idle connection at the moment of its use.
+                Err(_) | Ok(0) if reused => continue,
+                Err(_) | Ok(0) => return (End::without(Verdict::Broken), None),
+                Ok(written) => {
+                    sent.set(true);
+                    let rest = async {
+                        link.stream.write_all(&head.as_bytes()[written..]).await?;
+                        link.stream.write_all(body).await
+                    };
+                    if rest.await.is_err() {
+                        return (End::without(Verdict::Broken), None);
+                    }
+                }
+            }
+            return match self.answer(&mut link, budget).await {
+                Ok((end, held, reusable)) => {
+                    if reusable {
+                        self.put_back(no, link);
+                    }
+                    (end, held)
+                }
+                Err(what) => {
+                    tracing::debug!(cache = no.0, %what, "a broken answer");
+                    (End::without(Verdict::Broken), None)
+                }
+            };
+        }
+    }
+
+    fn put_back(&self, no: CacheNo, link: Link) {
+        let cache = &mut self.known.borrow_mut().caches[no.0 as usize];
+        if cache.standing == Standing::Ready && link.stream.get_ref().peer_addr().ok() == cache.address {
+            cache.idle.push((link, Instant::now()));
+        }
+    }
+
+    async fn answer(
+        &self,
+        link: &mut Link,
+        budget: &Rc<Budget>,
+    ) -> Result<(End, Option<Held>, bool), anyhow::Error> {
+        let Limits { head: longest_head, body: longest_body, .. } = self.limits;
+        let mut read = BytesMut::zeroed(2048);
+        let mut filled = 0;
+        let head = loop {
+            if filled == read.len() {
+                read.resize(filled * 2, 0);
+            }
+            let more = link.stream.read(&mut read[filled..]).await?;
+            anyhow::ensure!(more > 0, "closed after {filled} bytes");
+            filled += more;
+            if let Some(head) = tindoor_http::head(&read[..filled], longest_head, longest_body)? {
+                break head;
+            }
+        };
+        let whole = head.size + head.length;
+        anyhow::ensure!(filled <= whole, "bytes behind the answer");
+        let Some(held) = budget.take(whole) else { anyhow::bail!("no memory left for an answer") };
+        read.resize(whole, 0);
+        link.stream.read_exact(&mut read[filled..]).await?;
+        let _ = read.split_to(head.size);
+        let verdict = match (head.status, head.shed) {
+            (200 | 304, _) => Verdict::Done,
+            (404, _) => Verdict::Miss,
+            (503, true) => Verdict::Full,
+            (504, true) => Verdict::Moot,
+            (500, _) => Verdict::Error,
+            (status, shed) => {
+                tracing::warn!(status, shed, "an answer with an unknown status");
+                Verdict::Error
+            }
+        };
+        let note = head.remark.as_deref().map_or(Note::Untold, note);
+        let body = if head.status == 200 { read.freeze() } else { Bytes::new() };
+        let end = End { verdict, note, valid: head.status == 304, body };
+        Ok((end, Some(held), !head.closes))
+    }
+}
+
+/// Gives a place back unless it is kept.
+struct Counted(Option<Rc<Cell<usize>>>);
+
+impl Counted {
+    fn keep(mut self) -> Rc<Cell<usize>> {
+        self.0.take().expect("kept once")
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        if let Some(open) = &self.0 {
+            open.set(open.get() - 1);
+        }
+    }
+}
+
+/// Neither closed nor with anything to read.
+fn is_quiet(link: &Link) -> bool {
+    let peeked = link.stream.get_ref().peek(&mut [0]);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
+fn note(remark: &str) -> Note {
+    match remark {
+        "warm" => Note::Hit,
+        "fill" => Note::Filled,
+        "deep_fill" => Note::FilledByOrigin,
+        "piggy" => Note::Joined,
+        "aged" => Note::OldCopy,
+        "bounced" => Note::SourceRefused,
+        "dropped" => Note::SourceLost,
+        "lacking" => Note::SourceLacks,
+        "jammed" => Note::NoFillPlace,
+        "backfire" => Note::OriginFailed,
+        "" => Note::Untold,
+        other => {
+            tracing::warn!(remark = other, "an unknown remark");
+            Note::Untold
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/clients.rs
@@ -0,0 +1,250 @@
+//! Connections of clients: accepting, frames, and one writer each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io::{self, IoSlice};
+use std::net::{TcpListener, TcpStream};
+use std::rc::{Rc, Weak};
+use std::task::{Poll, Waker};
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use bytes::{Buf, Bytes, BytesMut};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use tindoor_thrift::{Fault, Message, Objection, Reply, aborted, application_exception, try_later};
+
+use crate::Router;
+use crate::caches::Held;
+use crate::desk::{Order, Slot};
+use crate::limits::within;
+use crate::view::{self, Call};
+
+/// Frames up to this size are copied out of what was read: a view outlives it, and would pin all of it.
+const SMALL: usize = 4096;
+
+/// One connection of a client.
+pub struct Client {
+    /// The views whose answers are owed, by sequence number.
+    open: RefCell<HashMap<i32, Rc<Slot>>>,
+    replies: RefCell<VecDeque<(Reply, Option<Held>)>>,
+    writer: Cell<Option<Waker>>,
+    closing: Cell<bool>,
+    used: Cell<Instant>,
+    /// Answers of all connections that are not yet written.
+    unwritten: Rc<Cell<usize>>,
+}
+
+impl Client {
+    fn new(unwritten: Rc<Cell<usize>>) -> Self {
+        Self {
+            open: RefCell::default(),
+            replies: RefCell::default(),
+            writer: Cell::default(),
+            closing: Cell::new(false),
+            used: Cell::new(Instant::now()),
+            unwritten,
+        }
+    }
+
+    /// The final answer of a call.
+    pub fn answer(&self, seq: i32, reply: Reply, held: Option<Held>) {
+        if self.open.borrow_mut().remove(&seq).is_some() {
+            self.send(reply, held);
+        }
+    }
+
+    fn send(&self, reply: Reply, held: Option<Held>) {
+        if !self.closing.get() {
+            self.unwritten.set(self.unwritten.get() + 1);
+            self.replies.borrow_mut().push_back((reply, held));
+            self.wake_writer();
+        }
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        self.wake_writer();
+    }
+
+    fn wake_writer(&self) {
+        if let Some(writer) = self.writer.take() {
+            writer.wake();
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.open.borrow().is_empty() && self.replies.borrow().is_empty() && !self.closing.get()
+    }
+
+    /// The next answer to write; none once the connection is to be closed.
+    async fn next_reply(&self) -> Option<(Reply, Option<Held>)> {
+        future::poll_fn(|context| {
+            if self.closing.get() {
+                return Poll::Ready(None);
+            }
+            let next = self.replies.borrow_mut().pop_front();
+            match next {
+                Some(reply) => Poll::Ready(Some(reply)),
+                None => {
+                    self.writer.set(Some(context.waker().clone()));
+                    Poll::Pending
+                }
+            }
+        })
+        .await
+    }
+}
+
+/// Accepts connections for as long as the router runs.
+pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>) {
+    let mut clients: Vec<Weak<Client>> = Vec::new();
+    loop {
+        clients.retain(|client| client.strong_count() > 0);
+        if clients.len() >= router.limits.client_connections {
+            // The longest idle one makes room; while none is, new ones wait to be accepted.
+            let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
+            if let Some(oldest) = idle.min_by_key(|client| client.used.get()) {
+                oldest.close();
+            }
+            Timer::after(Duration::from_millis(5)).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                let client = Rc::new(Client::new(Rc::clone(&router.unwritten)));
+                clients.push(Rc::downgrade(&client));
+                router.executor.spawn(converse(Rc::clone(&router), client, stream)).detach();
+            }
+            Err(error) => {
+                tracing::warn!(%error, "can't accept; closing idle connections");
+                router.caches.sweep();
+                let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
+                if let Some(oldest) = idle.min_by_key(|client| client.used.get()) {
+                    oldest.close();
+                }
+                Timer::after(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// One connection until either side closes it; what is still open then has nobody waiting.
+async fn converse(router: Rc<Router>, client: Rc<Client>, stream: Async<TcpStream>) {
+    let ended = future::or(read(&router, &client, &stream), write(&router, &client, &stream)).await;
+    if let Err(what) = ended {
+        tracing::debug!(%what, "a connection of a client ended");
+    }
+    client.closing.set(true);
+    let unwritten = client.replies.borrow_mut().drain(..).count();
+    client.unwritten.set(client.unwritten.get() - unwritten);
+    for (_, slot) in client.open.borrow_mut().drain() {
+        slot.put(Order::Left);
+    }
+}
+
+async fn read(router: &Rc<Router>, client: &Rc<Client>, stream: &Async<TcpStream>) -> io::Result<()> {
+    let mut stream = stream;
+    let mut read = BytesMut::new();
+    loop {
+        let filled = read.len();
+        read.resize(filled + router.limits.read, 0);
+        let more = stream.read(&mut read[filled..]).await?;
+        read.truncate(filled + more);
+        if more == 0 {
+            return Ok(());
+        }
+        let arrived = Instant::now();
+        client.used.set(arrived);
+        loop {
+            match tindoor_thrift::take_frame(&mut read, router.limits.frame) {
+                Ok(Some(frame)) => take(router, client, frame, arrived)?,
+                Ok(None) => break,
+                Err(fault) => return Err(unreadable(fault)),
+            }
+        }
+    }
+}
+
+fn unreadable(fault: Fault) -> io::Error {
+    tracing::warn!(?fault, "a client's connection is closed: it can't be read");
+    io::Error::new(io::ErrorKind::InvalidData, "unreadable")
+}
+
+/// Takes one frame; an error closes the connection.
+fn take(router: &Rc<Router>, client: &Rc<Client>, frame: Bytes, arrived: Instant) -> io::Result<()> {
+    let size = frame.len();
+    let frame = if size <= SMALL { Bytes::copy_from_slice(&frame) } else { frame };
+    match tindoor_thrift::parse(frame) {
+        Ok(Message::Health { seq }) => {
+            let good = !router.stopping.get();
+            client.send(tindoor_thrift::answer("health", seq, Bytes::new(), &[], good), None);
+        }
+        Ok(Message::Cancel { seq }) => {
+            if let Some(slot) = client.open.borrow_mut().remove(&seq) {
+                slot.put(Order::Left);
+            }
+        }
+        Ok(Message::Call { seq, fields, body }) => {
+            if client.open.borrow().contains_key(&seq) {
+                let text = "a call with this sequence number is open";
+                client.send(application_exception(seq, Objection::BadSequence, text), None);
+                return Ok(());
+            }
+            // What can't be taken at all never ran.
+            let views = router.decisions.open_views();
+            let room =
+                client.open.borrow().len() < router.limits.open_calls && views < router.limits.open_views;
+            let Some(held) = router.budget.take(size).filter(|_| room) else {
+                tracing::warn!(views, "no room for a view");
+                client.send(try_later(seq, &[]), None);
+                return Ok(());
+            };
+            let (no, slot) = router.decisions.open_view();
+            client.open.borrow_mut().insert(seq, Rc::clone(&slot));
+            let call = Call { seq, fields, body, arrived, _held: held };
+            let task = view::serve(Rc::clone(router), Rc::clone(client), call, no, slot);
+            router.executor.spawn(task).detach();
+        }
+        Err(Fault::UnknownMethod { seq }) => {
+            client.send(application_exception(seq, Objection::UnknownMethod, "no such method"), None);
+        }
+        Err(Fault::BadArguments { seq, what }) => {
+            tracing::warn!(what, "a call whose arguments can't be read");
+            client.send(aborted(seq, &[("reason", what)]), None);
+        }
+        Err(fault) => return Err(unreadable(fault)),
+    }
+    Ok(())
+}
+
+async fn write(router: &Router, client: &Client, stream: &Async<TcpStream>) -> io::Result<()> {
+    let mut stream = stream;
+    while let Some((Reply { mut head, mut body, mut tail }, _held)) = client.next_reply().await {
+        // Counted until it is written, whatever happens to this connection.
+        let _unwritten = Unwritten(&client.unwritten);
+        while !(head.is_empty() && body.is_empty() && tail.is_empty()) {
+            let slices = [IoSlice::new(&head), IoSlice::new(&body), IoSlice::new(&tail)];
+            // A client that takes nothing is given up: its answers must not hold memory for others.
+            let mut written = within(router.limits.client_stall, stream.write_vectored(&slices)).await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            for part in [&mut head, &mut body, &mut tail] {
+                let taken = written.min(part.len());
+                part.advance(taken);
+                written -= taken;
+            }
+        }
+        client.used.set(Instant::now());
+    }
+    Ok(())
+}
+
+struct Unwritten<'a>(&'a Cell<usize>);
+
+impl Drop for Unwritten<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/router/src/configuration.rs
@@ -0,0 +1,147 @@
+//! The one place where configuration is read, checked and given defaults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::{Context, Result, anyhow, ensure};
+use serde_json::Value;
+use tindoor::host::Facts;
+use tindoor_changelog::Event;
+
+use crate::limits::{Limits, Machine};
+
+/// What this router is told at its start.
+pub struct Deployment {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub changelog: SocketAddr,
+    /// The change log up to the start.
+    pub known: Vec<Event>,
+    pub known_seq: u64,
+    pub facts: Facts,
+    /// Offerings, locations and kinds of caches by their names, in the order of the facts.
+    pub offerings: Vec<Offering>,
+    pub locations: Vec<String>,
+    pub kinds: Vec<String>,
+    pub limits: Limits,
+}
+
+pub struct Offering {
+    pub name: String,
+    /// A repeat is told by its nonce.
+    pub tagged: bool,
+}
+
+/// The JSON object, and where in the configuration it stands, for messages.
+struct Place<'a>(&'a Value, String);
+
+impl<'a> Place<'a> {
+    fn find(&self, key: &str) -> (Option<&'a Value>, String) {
+        let path = if self.1.is_empty() { key.to_string() } else { format!("{}.{key}", self.1) };
+        (self.0.get(key).filter(|value| !value.is_null()), path)
+    }
+
+    fn at(&self, key: &str) -> Result<Place<'a>> {
+        let (value, path) = self.find(key);
+        let value = value.with_context(|| format!("{path}: missing"))?;
+        ensure!(value.is_object(), "{path}: not an object");
+        Ok(Place(value, path))
+    }
+
+    fn word(&self, key: &str) -> Result<&'a str> {
+        let (value, path) = self.find(key);
+        let value = value.with_context(|| format!("{path}: missing"))?;
+        value.as_str().filter(|word| !word.is_empty()).with_context(|| format!("{path}: not a string"))
+    }
+
+    fn list(&self, key: &str) -> Result<(&'a [Value], String)> {
+        let (value, path) = self.find(key);
+        let value = value.with_context(|| format!("{path}: missing"))?;
+        Ok((value.as_array().with_context(|| format!("{path}: not a list"))?, path))
+    }
+
+    fn words(&self, key: &str) -> Result<Vec<String>> {
+        let (list, path) = self.list(key)?;
+        let word = |(i, value): (usize, &Value)| {
+            value.as_str().map(str::to_string).with_context(|| format!("{path}[{i}]: not a string"))
+        };
+        list.iter().enumerate().map(word).collect()
+    }
+
+    /// A whole number within bounds; the default where the key is missing, if there is one.
+    fn number(&self, key: &str, [least, most]: [u64; 2], default: Option<u64>) -> Result<u64> {
+        let (value, path) = self.find(key);
+        let Some(value) = value else { return default.with_context(|| format!("{path}: missing")) };
+        let number = value.as_f64().filter(|n| *n >= 0.0).with_context(|| format!("{path}: not a number"))?;
+        let number = number as u64;
+        ensure!((least..=most).contains(&number), "{path}: {number} is not from {least} to {most}");
+        Ok(number)
+    }
+
+    fn address(&self, key: &str) -> Result<SocketAddr> {
+        let word = self.word(key)?;
+        word.parse().map_err(|_| anyhow!("{}: {word:?} is no address with a port", self.find(key).1))
+    }
+}
+
+/// Reads the configuration from its JSON text.
+pub fn read(text: &[u8]) -> Result<Deployment> {
+    let value: Value = serde_json::from_slice(text).context("not JSON")?;
+    ensure!(value.is_object(), "not a JSON object");
+    let top = Place(&value, String::new());
+    let seed = top.word("seed")?;
+    let settings = top.at("settings")?;
+    let facts = tindoor_facts::from_json(settings.0).context("settings")?;
+    let (classes, path) = settings.list("request_classes")?;
+    let offering = |(i, class): (usize, &Value)| {
+        let class = Place(class, format!("{path}[{i}]"));
+        for key in ["deadline", "objective"] {
+            class.number(key, [1, u64::MAX], None)?;
+        }
+        let effect = class.word("effect")?;
+        let known = ["read_like", "idempotency_key", "non_idempotent"].contains(&effect);
+        ensure!(known, "{}.effect: {effect:?} is not known", class.1);
+        Ok(Offering { name: class.word("name")?.to_string(), tagged: effect == "idempotency_key" })
+    };
+    let offerings: Vec<Offering> = classes.iter().enumerate().map(offering).collect::<Result<_>>()?;
+    ensure!(!offerings.is_empty(), "{path}: empty");
+    let rules = settings.at("rules")?;
+    rules.number("drain_grace", [0, u64::MAX], None)?;
+    let locations = settings.words("zones")?;
+    settings.number("zone", [0, locations.len().saturating_sub(1) as u64], None)?;
+    let allowed = settings.at("limits")?;
+    let micros = |key, default| {
+        let span = allowed.number(key, [1_000, 3_600_000_000], Some(default));
+        span.map(Duration::from_micros)
+    };
+    let bounds = match top.find("limits").0 {
+        Some(_) => top.at("limits")?,
+        None => Place(&Value::Null, "limits".to_string()),
+    };
+    let machine = Machine {
+        memory_mb: bounds.number("memory_mb", [32, 1 << 20], Some(192))?,
+        descriptors: bounds.number("sockets", [64, 1 << 20], Some(1024))? as usize,
+        connect: micros("connect_timeout", 400_000)?,
+        cache_idle: micros("conn_idle", 30_000_000)?,
+        open_views: allowed.number("open_cap", [1, 1 << 20], Some(1 << 12))?.min(1 << 12) as usize,
+    };
+    let known = top.at("known")?;
+    let (results, path) = known.list("results")?;
+    let event = |(i, value): (usize, &Value)| {
+        serde_json::from_value(value.clone()).with_context(|| format!("{path}[{i}]"))
+    };
+    Ok(Deployment {
+        name: top.word("name")?.to_string(),
+        listen: top.address("listen")?,
+        seed: u64::from_str_radix(seed, 16).map_err(|_| anyhow!("seed: {seed:?} is not hex digits"))?,
+        changelog: top.address("changelog")?,
+        known: results.iter().enumerate().map(event).collect::<Result<_>>()?,
+        known_seq: known.number("seq", [0, u64::MAX], None)?,
+        facts,
+        offerings,
+        locations,
+        kinds: settings.words("flavors")?,
+        limits: Limits::of(machine),
+    })
+}
--- /dev/null
+++ b/crates/router/src/desk.rs
@@ -0,0 +1,247 @@
+//! The module's [`Host`]: puts each order into the slot of its view and wakes the view's task.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::{Duration, Instant, SystemTime};
+
+use futures_lite::future;
+use tindoor::control::Control;
+use tindoor::host::{CacheNo, Host, Terms, ViewNo};
+use tindoor::time::{Moment, Span};
+
+/// What a view's task is told to do.
+#[derive(Clone, Copy, Debug)]
+pub enum Order {
+    Dispatch(Dispatch),
+    CallOff(u16),
+    TurnBack(Option<Span>),
+    WriteOff,
+    /// Nobody waits for the view any more; from its client, not from the module.
+    Left,
+}
+
+/// One dispatch that the module ordered.
+#[derive(Clone, Copy, Debug)]
+pub struct Dispatch {
+    pub nth: u16,
+    pub cache: CacheNo,
+    pub wait: Duration,
+    /// None for a plain look.
+    pub terms: Option<Terms>,
+    pub ordered: Instant,
+}
+
+/// Where the orders of one view wait for its task.
+#[derive(Default)]
+pub struct Slot {
+    orders: RefCell<VecDeque<Order>>,
+    task: Cell<Option<Waker>>,
+}
+
+impl Slot {
+    pub fn put(&self, order: Order) {
+        self.orders.borrow_mut().push_back(order);
+        if let Some(task) = self.task.take() {
+            task.wake();
+        }
+    }
+
+    pub async fn next(&self) -> Order {
+        future::poll_fn(|context| match self.orders.borrow_mut().pop_front() {
+            Some(order) => Poll::Ready(order),
+            None => {
+                self.task.set(Some(context.waker().clone()));
+                Poll::Pending
+            }
+        })
+        .await
+    }
+}
+
+/// One monotonic clock, set against the Unix clock once at the start.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Self { start: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment::at_micros((self.unix + self.start.elapsed()).as_micros() as u64)
+    }
+
+    /// A Unix millisecond as a point on the module's clock.
+    pub fn unix_ms(ms: u64) -> Moment {
+        Moment::at_micros(ms.saturating_mul(1000))
+    }
+}
+
+/// Views by their numbers, and when the module is to be woken.
+#[derive(Default)]
+pub struct Desk {
+    slots: Vec<Option<(Rc<Slot>, u16)>>,
+    free: Vec<u32>,
+    wake_at: Option<Instant>,
+    alarm: Rc<Alarm>,
+}
+
+/// Tells the task that keeps the module's time of an earlier wake.
+#[derive(Default)]
+pub struct Alarm {
+    earlier: Cell<bool>,
+    task: Cell<Option<Waker>>,
+}
+
+impl Alarm {
+    pub async fn changed(&self) {
+        future::poll_fn(|context| {
+            if self.earlier.take() {
+                return Poll::Ready(());
+            }
+            self.task.set(Some(context.waker().clone()));
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+impl Desk {
+    fn put(&self, view: ViewNo, order: Order) {
+        match self.slots.get(view.0 as usize).and_then(Option::as_ref) {
+            Some((slot, _)) => slot.put(order),
+            None => tracing::error!(?view, ?order, "an order for a view that is not there"),
+        }
+    }
+
+    fn dispatch(&mut self, view: ViewNo, cache: CacheNo, wait: Span, terms: Option<Terms>) {
+        let Some(Some((_, sent))) = self.slots.get_mut(view.0 as usize) else { return };
+        let nth = *sent;
+        *sent += 1;
+        let wait = Duration::from_micros(wait.as_micros());
+        self.put(view, Order::Dispatch(Dispatch { nth, cache, wait, terms, ordered: Instant::now() }));
+    }
+}
+
+impl Host for Desk {
+    fn look(&mut self, view: ViewNo, cache: CacheNo, wait: Span) {
+        self.dispatch(view, cache, wait, None);
+    }
+
+    fn read(&mut self, view: ViewNo, cache: CacheNo, wait: Span, terms: Terms) {
+        self.dispatch(view, cache, wait, Some(terms));
+    }
+
+    fn call_off(&mut self, view: ViewNo, nth: u16) {
+        self.put(view, Order::CallOff(nth));
+    }
+
+    fn turn_back(&mut self, view: ViewNo, come_back: Option<Span>) {
+        self.put(view, Order::TurnBack(come_back));
+    }
+
+    fn write_off(&mut self, view: ViewNo) {
+        self.put(view, Order::WriteOff);
+    }
+
+    fn wake_in(&mut self, wait: Span) {
+        let at = Instant::now() + Duration::from_micros(wait.as_micros());
+        if self.wake_at.is_none_or(|planned| at < planned) {
+            self.wake_at = Some(at);
+            self.alarm.earlier.set(true);
+            if let Some(task) = self.alarm.task.take() {
+                task.wake();
+            }
+        }
+    }
+
+    /// The change log is followed from the start, whether it is asked for or not.
+    fn subscribe(&mut self) {}
+}
+
+/// The module with its clock: the one way to it.
+pub struct Decisions {
+    control: RefCell<Control<Desk>>,
+    pub clock: Clock,
+    alarm: Rc<Alarm>,
+    open: Cell<usize>,
+}
+
+impl Decisions {
+    pub fn start(facts: tindoor::host::Facts, seed: u64) -> Result<Self, String> {
+        let (clock, desk) = (Clock::new(), Desk::default());
+        let alarm = Rc::clone(&desk.alarm);
+        let control = RefCell::new(Control::start(desk, facts, seed, clock.now())?);
+        Ok(Self { control, clock, alarm, open: Cell::new(0) })
+    }
+
+    /// Tells the module what happened, at the time that it is now. Nothing is awaited inside.
+    pub fn tell<T>(&self, what: impl FnOnce(&mut Control<Desk>) -> T) -> T {
+        let mut control = self.control.borrow_mut();
+        control.clock(self.clock.now());
+        what(&mut control)
+    }
+
+    /// How many views are in hand.
+    pub fn open_views(&self) -> usize {
+        self.open.get()
+    }
+
+    /// A number and a slot for a new view.
+    pub fn open_view(&self) -> (ViewNo, Rc<Slot>) {
+        self.open.set(self.open.get() + 1);
+        let slot = Rc::new(Slot::default());
+        let mut control = self.control.borrow_mut();
+        let desk = control.host();
+        let fresh = Some((Rc::clone(&slot), 0));
+        let no = match desk.free.pop() {
+            Some(no) => {
+                desk.slots[no as usize] = fresh;
+                no
+            }
+            None => {
+                desk.slots.push(fresh);
+                desk.slots.len() as u32 - 1
+            }
+        };
+        (ViewNo(no), slot)
+    }
+
+    /// The view has its final answer and every dispatch of it was reported.
+    pub fn close_view(&self, no: ViewNo) {
+        self.open.set(self.open.get() - 1);
+        let mut control = self.control.borrow_mut();
+        let desk = control.host();
+        desk.slots[no.0 as usize] = None;
+        desk.free.push(no.0);
+    }
+
+    /// Wakes the module whenever it asked for it; never ends.
+    pub async fn keep_time(&self) {
+        loop {
+            let wake_at = self.control.borrow_mut().host().wake_at;
+            let Some(wake_at) = wake_at else {
+                self.alarm.changed().await;
+                continue;
+            };
+            let ring = async {
+                async_io::Timer::at(wake_at).await;
+                true
+            };
+            let changed = async {
+                self.alarm.changed().await;
+                false
+            };
+            if future::or(ring, changed).await {
+                self.control.borrow_mut().host().wake_at = None;
+                self.tell(Control::wake);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/feed.rs
@@ -0,0 +1,150 @@
+//! The change log: what it tells of caches and purges goes to the connections and to the module.
+
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Result, bail, ensure};
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use tindoor::host::{ListForm, Listed, Standing};
+use tindoor::time::Moment;
+use tindoor_changelog::{Event, Fleet, Line, Phase, Purge};
+
+use crate::Router;
+use crate::desk::Clock;
+use crate::limits::within;
+
+/// How far the change log is known.
+pub struct Place {
+    /// The last event heeded.
+    pub seq: u64,
+    /// Lines since then that could not be read: the numbers of as many events may be missing.
+    pub unread: u64,
+    /// A gap that stood before this number: if it stands again, it is no fault of the connection.
+    pub gap: Option<u64>,
+}
+
+/// Follows the change log from `place` on, over one connection after another; never ends.
+pub async fn follow(router: Rc<Router>, address: SocketAddr, mut place: Place) {
+    loop {
+        if let Err(what) = listen(&router, address, &mut place).await {
+            tracing::warn!(%what, seq = place.seq, "the change log's connection ended");
+        }
+        let pause = router.limits.feed_pause;
+        let jitter = Duration::from_secs_f64(pause.as_secs_f64() * fastrand::f64());
+        Timer::after(pause + jitter).await;
+    }
+}
+
+async fn listen(router: &Router, address: SocketAddr, place: &mut Place) -> Result<()> {
+    let limits = &router.limits;
+    let mut stream = within(limits.feed_connect, Async::<TcpStream>::connect(address)).await?;
+    stream.write_all(format!("since {}\n", place.seq).as_bytes()).await?;
+    place.unread = 0;
+    let (mut read, mut chunk) = (Vec::new(), vec![0; limits.read]);
+    loop {
+        let more = within(limits.feed_silence, stream.read(&mut chunk)).await?;
+        ensure!(more > 0, "closed by the other side");
+        read.extend_from_slice(&chunk[..more]);
+        while let Some(line) = tindoor_changelog::take_line(&mut read) {
+            take(router, place, &line)?;
+        }
+        ensure!(read.len() <= limits.line, "a line over the limit");
+    }
+}
+
+fn take(router: &Router, place: &mut Place, line: &[u8]) -> Result<()> {
+    match tindoor_changelog::parse(line) {
+        Ok(Line::Beat(seq)) if seq > place.seq + place.unread && place.gap != Some(seq) => {
+            place.gap = Some(seq);
+            bail!("the log stands at {seq}")
+        }
+        Ok(Line::Beat(_)) => {}
+        Ok(Line::Event(event)) if event.seq <= place.seq => {}
+        Ok(Line::Event(event)) => {
+            let whole = event.seq <= place.seq + 1 + place.unread || place.gap == Some(event.seq);
+            if !whole {
+                place.gap = Some(event.seq);
+                bail!("a gap before {}", event.seq);
+            }
+            (place.seq, place.unread) = (event.seq, 0);
+            heed(router, event);
+        }
+        Err(error) => {
+            tracing::warn!(%error, "a line of the change log can't be read");
+            place.unread += 1;
+        }
+    }
+    Ok(())
+}
+
+/// Tells connections and module of one event.
+pub fn heed(router: &Router, event: Event) {
+    tracing::debug!(?event);
+    if let Some(fleet) = event.fleet {
+        listed(router, &fleet);
+    }
+    if let Some(purge) = event.invalidate {
+        purged(router, &purge);
+    }
+}
+
+fn listed(router: &Router, fleet: &Fleet) {
+    let place = |names: &[String], name: &str| {
+        let found = names.iter().position(|known| known == name);
+        found.and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX)
+    };
+    let mut lines = Vec::with_capacity(fleet.members.len());
+    for member in &fleet.members {
+        let standing = match member.phase {
+            Phase::Active => Standing::Ready,
+            Phase::Leaving => Standing::Draining,
+            Phase::Left => Standing::Gone,
+            Phase::Unknown => {
+                tracing::warn!(id = member.id, "an unknown state; taken for draining");
+                Standing::Draining
+            }
+        };
+        let address = member.host_port.parse().ok();
+        if address.is_none() {
+            tracing::warn!(id = member.id, address = member.host_port, "no address with a port");
+        }
+        lines.push(Listed {
+            cache: router.caches.listed(&member.id, address, standing),
+            stable: stable(&member.id),
+            standing,
+            started: Some(member.up_since_ms).filter(|at| *at > 0).map(Clock::unix_ms),
+            location: place(&router.locations, &member.locality),
+            size: member.size,
+            kind: place(&router.kinds, &member.flavor),
+            cell: member.cell,
+        });
+    }
+    if fleet.complete {
+        let named: Vec<_> = lines.iter().map(|line| line.cache).collect();
+        router.caches.gone_but(&named);
+    }
+    let form = if fleet.complete { ListForm::Whole } else { ListForm::Changes };
+    router.decisions.tell(|control| control.listed(form, &lines));
+}
+
+fn purged(router: &Router, purge: &Purge) {
+    let object = match purge.object_number() {
+        Ok(object) => object,
+        Err(object) => return tracing::warn!(object, "a purge of no object that can be read"),
+    };
+    let Some(group) = purge.bucket.or(object.map(|_| 0)) else {
+        return tracing::warn!("a purge of neither object nor group");
+    };
+    router.caches.purged();
+    let now: Moment = router.decisions.clock.now();
+    let ago = now.since(Clock::unix_ms(purge.time));
+    router.decisions.tell(|control| control.purged(object, group, ago));
+}
+
+/// A cache's id as a number that is the same at every router (FNV-1a).
+fn stable(id: &str) -> u64 {
+    id.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+}
--- /dev/null
+++ b/crates/router/src/limits.rs
@@ -0,0 +1,95 @@
+//! Every size, count and time that the router keeps to, in one type that is filled at start.
+
+use std::io;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+
+/// What the configuration says of the machine and of the connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    pub memory_mb: u64,
+    pub descriptors: usize,
+    pub connect: Duration,
+    pub cache_idle: Duration,
+    pub open_views: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections of clients at once.
+    pub client_connections: usize,
+    /// Connections to caches at once, idle ones included.
+    pub cache_connections: usize,
+    /// Views in hand at once.
+    pub open_views: usize,
+    /// Open calls on one connection.
+    pub open_calls: usize,
+    /// Bytes of bodies and frames held at once.
+    pub buffered: usize,
+    /// The longest frame of a client, without its length.
+    pub frame: usize,
+    /// The longest body of an object.
+    pub body: usize,
+    /// The longest head of a cache's answer.
+    pub head: usize,
+    /// The longest line of the change log.
+    pub line: usize,
+    /// How much is read at a time.
+    pub read: usize,
+    /// How long a connection may take to come up.
+    pub connect: Duration,
+    /// How long a connection to a cache may lie idle; well before the cache closes it.
+    pub cache_idle: Duration,
+    /// How long a client may take nothing of its answers.
+    pub client_stall: Duration,
+    /// How long the change log may say nothing.
+    pub feed_silence: Duration,
+    /// How long its connection may take to come up.
+    pub feed_connect: Duration,
+    /// The least pause before the next connection to it; up to twice as long by chance.
+    pub feed_pause: Duration,
+    /// How long views may still come after SIGTERM.
+    pub last_calls: Duration,
+    /// How often idle connections are looked through.
+    pub sweep: Duration,
+}
+
+impl Limits {
+    pub fn of(machine: Machine) -> Self {
+        // Clients get a third; a few are kept for listener, change log, signals, timers and logs.
+        let kept = 32;
+        let client_connections = machine.descriptors / 3;
+        let memory = machine.memory_mb as usize * 1_000_000;
+        Self {
+            client_connections,
+            cache_connections: machine.descriptors.saturating_sub(client_connections + kept).max(1),
+            open_views: machine.open_views,
+            open_calls: 32,
+            buffered: memory / 2,
+            frame: 64 << 10,
+            body: 240_000,
+            head: 8 << 10,
+            line: 1 << 20,
+            read: 16 << 10,
+            connect: machine.connect,
+            cache_idle: machine.cache_idle / 2,
+            client_stall: Duration::from_secs(2),
+            feed_silence: Duration::from_millis(2500),
+            feed_connect: Duration::from_secs(1),
+            feed_pause: Duration::from_millis(100),
+            last_calls: Duration::from_millis(800),
+            sweep: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What comes of it within its time; an error of kind `TimedOut` after that.
+pub async fn within<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let late = async {
+        Timer::after(time).await;
+        Err(io::Error::new(io::ErrorKind::TimedOut, "not in time"))
+    };
+    future::or(work, late).await
+}
--- /dev/null
+++ b/crates/router/src/view.rs
@@ -0,0 +1,209 @@
+//! The life of one view, from top to bottom.
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::future;
+use tindoor::host::{Asked, Note, Verdict, ViewNo};
+use tindoor::time::Span;
+use tindoor_http::Ask;
+use tindoor_thrift::{Fields, aborted, answer, try_later};
+
+use crate::Router;
+use crate::caches::{End, Held};
+use crate::clients::Client;
+use crate::desk::{Dispatch, Order, Slot};
+
+/// A call as its client sent it; its texts are slices of the frame.
+pub struct Call {
+    pub seq: i32,
+    pub fields: Fields,
+    pub body: Bytes,
+    pub arrived: Instant,
+    /// The memory that the frame stands for.
+    pub _held: Held,
+}
+
+/// What the call asks for, checked; the texts go on to caches unchanged.
+struct Wanted<'a> {
+    asked: Asked,
+    patience: Span,
+    ask: Ask<'a>,
+}
+
+enum Happened {
+    Order(Order),
+    End(End, Option<Held>),
+}
+
+type Exchange<'a> = Pin<Box<dyn Future<Output = (End, Option<Held>)> + 'a>>;
+
+/// Serves one view: asks the module at each point of choice and does what it says, until the client has its
+/// one final answer and every dispatch has been reported.
+pub async fn serve(router: Rc<Router>, client: Rc<Client>, call: Call, no: ViewNo, slot: Rc<Slot>) {
+    let seq = call.seq;
+    let wanted = match wanted(&router, &call) {
+        Ok(wanted) => wanted,
+        Err(field) => {
+            tracing::warn!(field, "a call that can't be taken");
+            client.answer(seq, aborted(seq, &[("reason", field)]), None);
+            return router.decisions.close_view(no);
+        }
+    };
+    let gone = Span::micros(call.arrived.elapsed().as_micros() as u64);
+    let left = wanted.patience - gone;
+    router.decisions.tell(|control| control.view(no, wanted.asked, left));
+
+    // One dispatch is out at a time; its end is told even where the answer is long given.
+    let mut out: Option<(Dispatch, Exchange)> = None;
+    let mut answered = false;
+    while !answered || out.is_some() {
+        let order = async { Happened::Order(slot.next().await) };
+        let end = async {
+            match &mut out {
+                Some((_, exchange)) => {
+                    let (end, held) = exchange.await;
+                    Happened::End(end, held)
+                }
+                None => future::pending().await,
+            }
+        };
+        let happened = future::or(order, end).await;
+        match happened {
+            Happened::Order(Order::Dispatch(dispatch)) if out.is_none() => {
+                out = Some((dispatch, Box::pin(exchange(&router, &call, &wanted, dispatch))));
+            }
+            Happened::Order(Order::Dispatch(second)) => {
+                tell_end(&router, no, &second, (Verdict::Moot, Note::Untold), answered);
+            }
+            Happened::Order(Order::CallOff(nth)) => {
+                // Dropping the exchange closes its connection, which gives the request up.
+                if let Some((dispatch, _)) = out.take_if(|(dispatch, _)| dispatch.nth == nth) {
+                    tell_end(&router, no, &dispatch, (Verdict::CalledOff, Note::Untold), answered);
+                }
+            }
+            Happened::Order(Order::TurnBack(come_back)) => {
+                let pause = come_back.map(|span| (span.as_micros() / 1000).to_string());
+                let fields: Vec<_> = pause.iter().map(|pause| ("pause", pause.as_str())).collect();
+                client.answer(seq, try_later(seq, &fields), None);
+                answered = true;
+            }
+            Happened::Order(Order::WriteOff) => {
+                client.answer(seq, aborted(seq, &[]), None);
+                answered = true;
+            }
+            Happened::Order(Order::Left) => {
+                router.decisions.tell(|control| control.left(no));
+                if let Some((dispatch, _)) = out.take() {
+                    tell_end(&router, no, &dispatch, (Verdict::CalledOff, Note::Untold), true);
+                }
+                answered = true;
+            }
+            Happened::End(end, held) => {
+                let Some((dispatch, _)) = out.take() else { continue };
+                let done = end.verdict == Verdict::Done;
+                tell_end(&router, no, &dispatch, (end.verdict, end.note), answered || done);
+                if done && !answered {
+                    let fields: &[_] = if end.valid { &[("valid", "1")] } else { &[] };
+                    client.answer(seq, answer("call", seq, end.body, fields, true), held);
+                    answered = true;
+                }
+            }
+        }
+    }
+    router.decisions.close_view(no);
+}
+
+fn tell_end(router: &Router, no: ViewNo, dispatch: &Dispatch, end: (Verdict, Note), last: bool) {
+    let took = Span::micros(dispatch.ordered.elapsed().as_micros() as u64);
+    tracing::debug!(view = no.0, nth = dispatch.nth, cache = dispatch.cache.0, ?end, ?took, last);
+    router.decisions.tell(|control| control.answered(no, dispatch.nth, end, took, last));
+}
+
+/// One dispatch, within its own time.
+async fn exchange(
+    router: &Router,
+    call: &Call,
+    wanted: &Wanted<'_>,
+    dispatch: Dispatch,
+) -> (End, Option<Held>) {
+    let Dispatch { cache, wait, terms, ordered, .. } = dispatch;
+    let source = terms.map(|terms| terms.source);
+    let outlook = router.caches.outlook(cache, source);
+    let source_id = source.filter(|source| *source != cache).map(|source| router.caches.id(source));
+    let due = ordered + wait;
+    let head = || {
+        let left_ms = due.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let same = router.caches.outlook(cache, source) == outlook;
+        let ask = Ask {
+            wait_ms: left_ms,
+            source: source_id.as_deref(),
+            rank: terms.map_or(0, |terms| terms.rank),
+            // Rounded down; 0 would mean that any fresh copy will do.
+            oldest_ms: terms.and_then(|t| t.oldest).map(|span| (span.as_micros() / 1000).max(1)),
+            join: terms.is_some_and(|terms| terms.join),
+            only_held: terms.is_some_and(|terms| terms.only_held),
+            renew: terms.is_some_and(|terms| terms.renew),
+            ..wanted.ask
+        };
+        (same && left_ms > 0).then(|| ask.head())
+    };
+    let sent = Cell::new(false);
+    let whole = async { Some(router.caches.exchange(cache, head, &call.body, &router.budget, &sent).await) };
+    let late = async {
+        Timer::at(due).await;
+        None
+    };
+    match future::or(whole, late).await {
+        Some(end) => end,
+        None if sent.get() => (End::without(Verdict::TimedOut), None),
+        None => (End::without(Verdict::Unreachable), None),
+    }
+}
+
+/// Reads the fields of a call; names the one that is missing or can't be used.
+fn wanted<'a>(router: &Router, call: &'a Call) -> Result<Wanted<'a>, &'static str> {
+    let text = |name: &'static str| call.fields.get(name).map(|value| plain(value).ok_or(name)).transpose();
+    let needed = |name: &'static str| text(name)?.ok_or(name);
+    let number = |name: &'static str| needed(name)?.parse::<u32>().map_err(|_| name);
+    let hex = |name: &'static str| {
+        let text = needed(name)?;
+        tindoor_changelog::object_number(text.as_bytes()).map(|number| (text, number)).ok_or(name)
+    };
+    let route = needed("route")?;
+    let offering = router.offerings.iter().position(|offering| offering.name == route).ok_or("route")?;
+    let nonce = text("nonce")?;
+    if router.offerings[offering].tagged && nonce.is_none() {
+        return Err("nonce");
+    }
+    let (object_text, object) = hex("entity")?;
+    let asked = Asked {
+        object,
+        part: number("chunk")?,
+        group: number("tag")?,
+        offering: offering as u16,
+        kb: None,
+        repeat: text("redo")? == Some("1"),
+    };
+    let ask = Ask {
+        offering: route,
+        object: object_text,
+        part: needed("chunk")?,
+        ticket: hex("trace")?.0,
+        nonce,
+        client_tag: text("known")?,
+        body: call.body.len(),
+        ..Ask::default()
+    };
+    Ok(Wanted { asked, patience: Span::millis(number("patience")?.into()), ask })
+}
+
+/// Text that can stand in a header or a path as it is.
+fn plain(value: &[u8]) -> Option<&str> {
+    let graphic = !value.is_empty() && value.len() <= 128 && value.iter().all(u8::is_ascii_graphic);
+    std::str::from_utf8(value).ok().filter(|_| graphic)
+}
