Writes go out as GET with a body: a POST is answered 400

Seen: every progress-save written off, 400 without X-Shed in the log (caches.rs, unknown status). Ruled out: the module (it sent them straight to the origin, as in the simulator), headers (reads pass). At fault: the method in crates/http.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -23,14 +23,14 @@
 }
 
 impl Ask<'_> {
-    /// The head of the request; the body, if there is one, follows it as it came.
+    /// The head of the request; the body, if there is one, follows it as it came. It is a GET even then, as
+    /// the protocol knows no other method: a POST is answered 400, and every write is lost.
     pub fn head(&self) -> String {
         let mut out = String::with_capacity(320);
-        let method = if self.body > 0 { "POST" } else { "GET" };
         let Self { offering, object, part, ticket, wait_ms, .. } = self;
         let _ = write!(
             out,
-            "{method} /v1/store/{offering}/{object}/{part} HTTP/1.1\r\nHost: cache\r\n\
+            "GET /v1/store/{offering}/{object}/{part} HTTP/1.1\r\nHost: cache\r\n\
              X-Ticket: {ticket}\r\nX-Max-Ms: {wait_ms}\r\n"
         );
         let texts = [("X-Nonce", self.nonce), ("X-Source", self.source), ("X-Client-Tag", self.client_tag)];
