--- /dev/null
+++ b/Makefile
@@ -0,0 +1,15 @@
+.PHONY: build test lint run
+
+build:
+	cargo build --release
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+# The router by itself: it answers `health`, and turns every view back, as its example lists no caches.
+run: build
+	target/release/tindoor deploy/example.json
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -12,7 +12,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use tindoor::host::{CacheNo, Note, Standing, Verdict};
 
-use crate::limits::{Limits, within};
+use crate::limits::{Limits, Seldom, within};
 
 /// A connection that counts against the limit as long as it lives.
 struct Link {
@@ -40,6 +40,9 @@
     limits: Limits,
     known: RefCell<Known>,
     open: Rc<Cell<usize>>,
+    /// Dispatches for which connections or memory did not suffice, and answers that nobody knows.
+    short: Seldom,
+    strange: Seldom,
     /// Counts purges: what was ordered before one may ask for too old a copy.
     purges: Cell<u64>,
 }
@@ -104,7 +107,14 @@
 
 impl Caches {
     pub fn new(limits: Limits) -> Self {
-        Self { limits, known: RefCell::default(), open: Rc::default(), purges: Cell::new(0) }
+        Self {
+            limits,
+            known: RefCell::default(),
+            open: Rc::default(),
+            short: Seldom::default(),
+            strange: Seldom::default(),
+            purges: Cell::new(0),
+        }
     }
 
     /// A line of the list: gives the cache's number, the same for as long as the router lives.
@@ -178,7 +188,9 @@
         let address = self.known.borrow().caches[no.0 as usize].address;
         let Some(address) = address else { return Err(Verdict::Unreachable) };
         if self.open.get() >= self.limits.cache_connections && !self.close_oldest_idle() {
-            tracing::warn!(limit = self.limits.cache_connections, "connections to caches are used up");
+            if let Some(times) = self.short.told() {
+                tracing::warn!(times, "all connections to caches are in use; not sent");
+            }
             return Err(Verdict::Moot);
         }
         // Counted from here on, so that connects under way stay within the limit, too.
@@ -191,8 +203,15 @@
             }
             Err(error) => {
                 tracing::debug!(cache = %address, %error, "no connection");
-                let short = matches!(error.raw_os_error(), Some(23 | 24 | 99 | 105));
-                Err(if short { Verdict::Moot } else { Verdict::Unreachable })
+                // Only these two speak of the cache; else the router's own machine is short of something.
+                let there =
+                    matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::TimedOut);
+                let there = there
+                    || matches!(
+                        error.kind(),
+                        io::ErrorKind::ConnectionReset | io::ErrorKind::HostUnreachable
+                    );
+                Err(if there { Verdict::Unreachable } else { Verdict::Moot })
             }
         }
     }
@@ -214,6 +233,13 @@
         budget: &Rc<Budget>,
         sent: &Cell<bool>,
     ) -> (End, Option<Held>) {
+        // Sent only where there is memory for the longest answer, so that sends stop before reads do.
+        if budget.free.get() < self.limits.body + self.limits.head {
+            if let Some(times) = self.short.told() {
+                tracing::warn!(times, "no memory for a further answer; not sent");
+            }
+            return (End::without(Verdict::Moot), None);
+        }
         loop {
             let (mut link, reused) = match self.take_idle(no) {
                 Some(link) => (link, true),
@@ -282,7 +308,10 @@
         };
         let whole = head.size + head.length;
         anyhow::ensure!(filled <= whole, "bytes behind the answer");
-        let Some(held) = budget.take(whole) else { anyhow::bail!("no memory left for an answer") };
+        // No fault of the cache: the router itself stops waiting.
+        let Some(held) = budget.take(whole) else {
+            return Ok((End::without(Verdict::CalledOff), None, false));
+        };
         read.resize(whole, 0);
         link.stream.read_exact(&mut read[filled..]).await?;
         let _ = read.split_to(head.size);
@@ -293,11 +322,19 @@
             (504, true) => Verdict::Moot,
             (500, _) => Verdict::Error,
             (status, shed) => {
-                tracing::warn!(status, shed, "an answer with an unknown status");
+                if let Some(times) = self.strange.told() {
+                    tracing::warn!(status, shed, times, "an answer with an unknown status");
+                }
                 Verdict::Error
             }
         };
-        let note = head.remark.as_deref().map_or(Note::Untold, note);
+        let remark = head.remark.as_deref().unwrap_or_default();
+        let note = note(remark).unwrap_or_else(|| {
+            if let Some(times) = self.strange.told() {
+                tracing::warn!(remark, times, "an unknown remark");
+            }
+            Note::Untold
+        });
         let body = if head.status == 200 { read.freeze() } else { Bytes::new() };
         let end = End { verdict, note, valid: head.status == 304, body };
         Ok((end, Some(held), !head.closes))
@@ -327,8 +364,9 @@
     peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
-fn note(remark: &str) -> Note {
-    match remark {
+fn note(remark: &str) -> Option<Note> {
+    Some(match remark {
+        "" => Note::Untold,
         "warm" => Note::Hit,
         "fill" => Note::Filled,
         "deep_fill" => Note::FilledByOrigin,
@@ -339,10 +377,6 @@
         "lacking" => Note::SourceLacks,
         "jammed" => Note::NoFillPlace,
         "backfire" => Note::OriginFailed,
-        "" => Note::Untold,
-        other => {
-            tracing::warn!(remark = other, "an unknown remark");
-            Note::Untold
-        }
-    }
+        _ => return None,
+    })
 }
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -22,11 +22,18 @@
 /// Frames up to this size are copied out of what was read: a view outlives it, and would pin all of it.
 const SMALL: usize = 4096;
 
+/// An answer on its way to the client, with the memory that it stands for.
+struct Given {
+    reply: Reply,
+    at: Instant,
+    _held: Option<Held>,
+}
+
 /// One connection of a client.
 pub struct Client {
     /// The views whose answers are owed, by sequence number.
     open: RefCell<HashMap<i32, Rc<Slot>>>,
-    replies: RefCell<VecDeque<(Reply, Option<Held>)>>,
+    replies: RefCell<VecDeque<Given>>,
     writer: Cell<Option<Waker>>,
     closing: Cell<bool>,
     used: Cell<Instant>,
@@ -56,7 +63,7 @@
     fn send(&self, reply: Reply, held: Option<Held>) {
         if !self.closing.get() {
             self.unwritten.set(self.unwritten.get() + 1);
-            self.replies.borrow_mut().push_back((reply, held));
+            self.replies.borrow_mut().push_back(Given { reply, at: Instant::now(), _held: held });
             self.wake_writer();
         }
     }
@@ -77,7 +84,7 @@
     }
 
     /// The next answer to write; none once the connection is to be closed.
-    async fn next_reply(&self) -> Option<(Reply, Option<Held>)> {
+    async fn next_reply(&self) -> Option<Given> {
         future::poll_fn(|context| {
             if self.closing.get() {
                 return Poll::Ready(None);
@@ -196,7 +203,9 @@
             let room =
                 client.open.borrow().len() < router.limits.open_calls && views < router.limits.open_views;
             let Some(held) = router.budget.take(size).filter(|_| room) else {
-                tracing::warn!(views, "no room for a view");
+                if let Some(times) = router.no_room.told() {
+                    tracing::warn!(views, times, "no room for a view");
+                }
                 client.send(try_later(seq, &[]), None);
                 return Ok(());
             };
@@ -220,13 +229,16 @@
 
 async fn write(router: &Router, client: &Client, stream: &Async<TcpStream>) -> io::Result<()> {
     let mut stream = stream;
-    while let Some((Reply { mut head, mut body, mut tail }, _held)) = client.next_reply().await {
+    while let Some(Given { reply: Reply { mut head, mut body, mut tail }, at, _held }) =
+        client.next_reply().await
+    {
+        // One that takes its answers too slowly is given up: they must not hold memory for others.
+        let left = router.limits.untaken.saturating_sub(at.elapsed());
         // Counted until it is written, whatever happens to this connection.
         let _unwritten = Unwritten(&client.unwritten);
         while !(head.is_empty() && body.is_empty() && tail.is_empty()) {
             let slices = [IoSlice::new(&head), IoSlice::new(&body), IoSlice::new(&tail)];
-            // A client that takes nothing is given up: its answers must not hold memory for others.
-            let mut written = within(router.limits.client_stall, stream.write_vectored(&slices)).await?;
+            let mut written = within(left, stream.write_vectored(&slices)).await?;
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -1,5 +1,6 @@
 //! Every size, count and time that the router keeps to, in one type that is filled at start.
 
+use std::cell::Cell;
 use std::io;
 use std::time::Duration;
 
@@ -42,8 +43,8 @@
     pub connect: Duration,
     /// How long a connection to a cache may lie idle; well before the cache closes it.
     pub cache_idle: Duration,
-    /// How long a client may take nothing of its answers.
-    pub client_stall: Duration,
+    /// How long an answer may wait for its client to take it, from when it was given.
+    pub untaken: Duration,
     /// How long the change log may say nothing.
     pub feed_silence: Duration,
     /// How long its connection may take to come up.
@@ -75,7 +76,7 @@
             read: 16 << 10,
             connect: machine.connect,
             cache_idle: machine.cache_idle / 2,
-            client_stall: Duration::from_secs(2),
+            untaken: Duration::from_secs(5),
             feed_silence: Duration::from_millis(2500),
             feed_connect: Duration::from_secs(1),
             feed_pause: Duration::from_millis(100),
@@ -93,3 +94,15 @@
     };
     future::or(work, late).await
 }
+
+/// Counts what would flood the log: the first of a kind is told, then each time that their number doubled.
+#[derive(Default)]
+pub struct Seldom(Cell<u64>);
+
+impl Seldom {
+    /// How many there were, if this one is to be told.
+    pub fn told(&self) -> Option<u64> {
+        self.0.set(self.0.get() + 1);
+        Some(self.0.get()).filter(|count| count.is_power_of_two())
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -23,7 +23,7 @@
 use caches::{Budget, Caches};
 use configuration::{Deployment, Offering};
 use desk::Decisions;
-use limits::Limits;
+use limits::{Limits, Seldom};
 
 /// What every task of the router shares.
 pub struct Router {
@@ -37,6 +37,9 @@
     budget: Rc<Budget>,
     /// Answers that wait to be written.
     unwritten: Rc<Cell<usize>>,
+    /// Views that could not be taken, and calls that could not be read.
+    no_room: Seldom,
+    unreadable: Seldom,
     /// SIGTERM came.
     stopping: Cell<bool>,
 }
@@ -78,6 +81,8 @@
         caches: Caches::new(limits),
         budget: Budget::new(limits.buffered),
         unwritten: Rc::default(),
+        no_room: Seldom::default(),
+        unreadable: Seldom::default(),
         stopping: Cell::new(false),
     });
     deployment.known.into_iter().for_each(|event| feed::heed(&router, event));
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -49,7 +49,9 @@
     let wanted = match wanted(&router, &call) {
         Ok(wanted) => wanted,
         Err(field) => {
-            tracing::warn!(field, "a call that can't be taken");
+            if let Some(times) = router.unreadable.told() {
+                tracing::warn!(field, times, "a call with a field that can't be used");
+            }
             client.answer(seq, aborted(seq, &[("reason", field)]), None);
             return router.decisions.close_view(no);
         }
--- /dev/null
+++ b/crates/router/tests/stand_in/mod.rs
@@ -0,0 +1,471 @@
+//! Stand-ins on loopback for what the router talks to: caches, the change log and a client. They speak the
+//! published protocol, and every wait is for something to happen.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Far more than anything here takes, also on a slow machine.
+const LONGEST: Duration = Duration::from_secs(60);
+
+/// Something that changes, and that can be waited for.
+#[derive(Default)]
+pub struct Watched<T>(Arc<(Mutex<T>, Condvar)>);
+
+impl<T> Clone for Watched<T> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<T> Watched<T> {
+    pub fn change<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
+        let result = change(&mut self.0.0.lock().unwrap());
+        self.0.1.notify_all();
+        result
+    }
+
+    pub fn wait<R>(&self, what: &str, mut ready: impl FnMut(&mut T) -> Option<R>) -> R {
+        let start = Instant::now();
+        let mut value = self.0.0.lock().unwrap();
+        loop {
+            if let Some(result) = ready(&mut value) {
+                return result;
+            }
+            assert!(start.elapsed() < LONGEST, "waited in vain for {what}");
+            value = self.0.1.wait_timeout(value, Duration::from_millis(100)).unwrap().0;
+        }
+    }
+}
+
+impl Watched<bool> {
+    pub fn let_go(&self) {
+        self.change(|open| *open = true);
+    }
+}
+
+/// What a cache does with a request.
+#[derive(Clone)]
+pub enum Deed {
+    Say(Vec<u8>),
+    SayAndClose(Vec<u8>),
+    /// Nothing, until the router closes the connection.
+    Hang,
+    /// The answer comes once the test lets it go.
+    Once(Watched<bool>, Vec<u8>),
+}
+
+pub fn answer(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+pub fn served(body: &[u8]) -> Vec<u8> {
+    answer(200, "X-Remark: warm\r\nX-Version: 4be0c1927d55a6f3\r\n", body)
+}
+
+/// A request as a cache saw it; header names in lower case.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub line: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+    /// Which of its connections it came on.
+    pub connection: usize,
+}
+
+pub struct Cache {
+    pub address: SocketAddr,
+    pub seen: Watched<Vec<Seen>>,
+    /// Connections that the router closed.
+    pub closed: Watched<usize>,
+}
+
+impl Cache {
+    pub fn start(deed: impl Fn(&Seen) -> Deed + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (address, deed) = (listener.local_addr().unwrap(), Arc::new(deed));
+        let (seen, closed) = (Watched::<Vec<Seen>>::default(), Watched::<usize>::default());
+        let cache = Self { address, seen: seen.clone(), closed: closed.clone() };
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (deed, seen, closed) = (Arc::clone(&deed), seen.clone(), closed.clone());
+                thread::spawn(move || {
+                    let _ = Self::talk(connection, stream.unwrap(), &*deed, &seen);
+                    closed.change(|closed| *closed += 1);
+                });
+            }
+        });
+        cache
+    }
+
+    fn talk(
+        connection: usize,
+        stream: TcpStream,
+        deed: &dyn Fn(&Seen) -> Deed,
+        seen: &Watched<Vec<Seen>>,
+    ) -> std::io::Result<()> {
+        let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
+        loop {
+            let mut lines = Vec::new();
+            loop {
+                let mut line = String::new();
+                if reader.read_line(&mut line)? == 0 {
+                    return Ok(());
+                }
+                match line.trim_end() {
+                    "" => break,
+                    line => lines.push(line.to_string()),
+                }
+            }
+            let split = |line: &String| line.split_once(": ").map(|(n, v)| (n.to_lowercase(), v.to_string()));
+            let headers: HashMap<_, _> = lines[1..].iter().filter_map(split).collect();
+            let length = headers.get("content-length").map_or(0, |length| length.parse().unwrap());
+            let mut body = vec![0; length];
+            reader.read_exact(&mut body)?;
+            let request = Seen { line: lines[0].clone(), headers, body, connection };
+            seen.change(|seen| seen.push(request.clone()));
+            match deed(&request) {
+                Deed::Say(bytes) => writer.write_all(&bytes)?,
+                Deed::SayAndClose(bytes) => return writer.write_all(&bytes),
+                Deed::Hang => return reader.read(&mut [0]).map(drop),
+                Deed::Once(gate, bytes) => {
+                    gate.wait("the test to let an answer go", |open| open.then_some(()));
+                    writer.write_all(&bytes)?;
+                }
+            }
+        }
+    }
+
+    /// The first `count` requests, once they are there.
+    pub fn requests(&self, count: usize) -> Vec<Seen> {
+        self.seen.wait("requests", |seen| (seen.len() >= count).then(|| seen.clone()))
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.change(|seen| seen.len())
+    }
+}
+
+/// The change log: remembers from where it was asked, and says on its latest connection what the test says.
+pub struct ChangeLog {
+    pub address: SocketAddr,
+    pub asked: Watched<Vec<u64>>,
+    latest: Watched<Option<TcpStream>>,
+    /// The number that its beats tell; none while it is silent.
+    pub beat: Watched<Option<u64>>,
+}
+
+impl ChangeLog {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (asked, latest) = (Watched::<Vec<u64>>::default(), Watched::<Option<TcpStream>>::default());
+        let beat = Watched::default();
+        beat.change(|beat| *beat = Some(1));
+        let log = Self { address, asked: asked.clone(), latest: latest.clone(), beat: beat.clone() };
+        let beaten = latest.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let stream = stream.unwrap();
+                let mut line = String::new();
+                let _ = BufReader::new(&stream).read_line(&mut line);
+                let since = line.trim().strip_prefix("since ").expect("since N").parse().unwrap();
+                latest.change(|latest| *latest = Some(stream));
+                asked.change(|asked| asked.push(since));
+            }
+        });
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(300));
+                if let Some(number) = beat.change(|beat| *beat) {
+                    let line = format!("{number}\n");
+                    beaten.change(|stream| stream.as_mut().map(|stream| stream.write_all(line.as_bytes())));
+                }
+            }
+        });
+        log
+    }
+
+    /// Waits until the router has asked that many times.
+    pub fn asks(&self, count: usize) -> Vec<u64> {
+        self.asked
+            .wait("the router to ask the change log", |asked| (asked.len() >= count).then(|| asked.clone()))
+    }
+
+    pub fn say(&self, text: &str) {
+        self.latest.wait("a connection", |stream| stream.as_mut().map(|s| s.write_all(text.as_bytes()).ok()));
+    }
+
+    pub fn hang_up(&self) {
+        self.latest.change(|stream| stream.take());
+    }
+}
+
+pub fn member(id: &str, address: SocketAddr, flavor: &str, phase: &str) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "central", "flavor": flavor, "cell": 0,
+           "phase": phase, "size": 1, "up_since_ms": 0})
+}
+
+/// A whole configuration, with a list of the given members.
+pub fn configuration(log: SocketAddr, members: Vec<Value>) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "changelog": log.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "flow_bytes_per_s": 310000, "link_bytes_per_s": 1240000,
+        "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"revision": 1, "complete": true, "members": members}}]},
+        "settings": {
+            "family": "edge", "zone": 0, "zones": ["central"], "flavors": ["cache", "parent", "origin"],
+            "balancers": 1, "weights": "off", "registry_mode": "pushed",
+            "request_classes": [
+                {"name": "pages", "deadline": 3_000_000, "objective": 300_000, "effect": "read_like", "group": "all",
+                 "late_value": 0.2, "points": 1.0, "window": 0},
+                {"name": "saves", "deadline": 3_000_000, "objective": 300_000, "effect": "idempotency_key",
+                 "group": "all", "late_value": 0.2, "points": 1.0, "window": 3_000_000}],
+            "limits": {"cancelling": true, "conn_idle": 30_000_000, "connect_timeout": 400_000, "most_tries": 8,
+                       "max_retry_after": 500_000, "retry_after": true, "second_copies": false, "open_cap": 20000},
+            "rules": {"cold_share": 0.2, "warm_within": 18_000_000, "drain_grace": 500_000,
+                      "overload_factor": 4.0, "overload_for": 1_000_000},
+            "family_info": {"bypass_allowed": true, "class_fresh": [8_000_000, 0], "older_by": [0, 0],
+                            "worth_when_old": [0.5, 0.5], "goes_through": [false, true], "note_level": "all",
+                            "root_kind": 2, "second_tier_kind": 1, "gone_everywhere": 6_000_000,
+                            "heed_within": 500_000, "instances_by_zone": [1], "client_kb_per_s": 9000.0}
+        }
+    })
+}
+
+/// The router itself, as a process of its own.
+pub struct Router {
+    child: Child,
+    pub address: SocketAddr,
+    /// What it logged.
+    pub log: Watched<Vec<String>>,
+    file: PathBuf,
+}
+
+/// Starts the program with this configuration text.
+fn spawn(text: &str) -> (Child, PathBuf) {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let unique = format!("tindoor-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let file = std::env::temp_dir().join(unique);
+    std::fs::write(&file, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tindoor"));
+    let child = command.env("PROXY_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap();
+    (child, file)
+}
+
+/// Runs the program with a configuration that it can't use: how it ended and what it said.
+pub fn fails_with(text: &str) -> (ExitStatus, String) {
+    let (child, file) = spawn(text);
+    let output = child.wait_with_output().unwrap();
+    let _ = std::fs::remove_file(file);
+    (output.status, String::from_utf8(output.stderr).unwrap())
+}
+
+impl Router {
+    pub fn start(configuration: &Value) -> Self {
+        let (mut child, file) = spawn(&configuration.to_string());
+        let (log, lines) = (Watched::<Vec<String>>::default(), BufReader::new(child.stderr.take().unwrap()));
+        let logged = log.clone();
+        thread::spawn(move || {
+            lines.lines().map_while(Result::ok).for_each(|l| logged.change(|log| log.push(l)))
+        });
+        let address = log.wait("the router to listen", |log| {
+            let line = log.iter().find_map(|line| line.split_once("bound=").map(|found| found.1.to_string()));
+            line.map(|address| address.trim().parse().unwrap())
+        });
+        Self { child, address, log, file }
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// The most memory that it ever held, in kilobytes.
+    pub fn peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A client's connection.
+pub struct Client(pub TcpStream);
+
+type Texts = HashMap<String, String>;
+
+#[derive(Debug, PartialEq)]
+pub enum Reply {
+    Served { body: Vec<u8>, fields: Texts, good: bool },
+    TurnedBack(Texts),
+    WrittenOff(Texts),
+    Exception,
+}
+
+fn text(out: &mut Vec<u8>, text: &[u8]) {
+    out.extend((text.len() as u32).to_be_bytes());
+    out.extend(text);
+}
+
+/// A message's frame, with these arguments.
+pub fn frame(kind: u8, method: &str, seq: i32, arguments: &[u8]) -> Vec<u8> {
+    let mut message = vec![0x80, 1, 0, kind];
+    text(&mut message, method.as_bytes());
+    message.extend(seq.to_be_bytes());
+    message.extend(arguments);
+    [&(message.len() as u32).to_be_bytes()[..], &message].concat()
+}
+
+/// The frame of a call with these fields.
+pub fn call(seq: i32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = vec![13, 0, 1, 11, 11];
+    out.extend((fields.len() as u32).to_be_bytes());
+    for (name, value) in fields {
+        text(&mut out, name.as_bytes());
+        text(&mut out, value.as_bytes());
+    }
+    out.extend([11, 0, 2]);
+    text(&mut out, body);
+    out.push(0);
+    frame(1, "call", seq, &out)
+}
+
+/// The fields of a plain view of an object.
+pub fn page<'a>(object: &'a str, patience: &'a str) -> Vec<(&'a str, &'a str)> {
+    let route = [("route", "pages"), ("trace", "9b1f03aa5c7e2d41"), ("patience", patience)];
+    [&route[..], &[("entity", object), ("chunk", "3"), ("tag", "17")]].concat()
+}
+
+pub const OBJECT: &str = "7f3a9c21e0b4d655";
+
+impl Client {
+    pub fn connect(router: &Router) -> Self {
+        let stream = TcpStream::connect(router.address).unwrap();
+        stream.set_read_timeout(Some(LONGEST)).unwrap();
+        Self(stream)
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).unwrap();
+    }
+
+    pub fn ask(&mut self, seq: i32, object: &str) {
+        self.send(&call(seq, &page(object, "3000"), b""));
+    }
+
+    pub fn cancel(&mut self, seq: i32) {
+        let mut arguments = vec![8, 0, 1];
+        arguments.extend(seq.to_be_bytes());
+        arguments.push(0);
+        self.send(&frame(4, "cancel", 0, &arguments));
+    }
+
+    pub fn healthy(&mut self, seq: i32) -> bool {
+        self.send(&frame(1, "health", seq, &[2, 0, 1, 1, 0]));
+        match self.reply() {
+            (number, Reply::Served { good, .. }) if number == seq => good,
+            other => panic!("no answer to health: {other:?}"),
+        }
+    }
+
+    /// The next answer; panics where the connection ends.
+    pub fn reply(&mut self) -> (i32, Reply) {
+        self.next().expect("the connection ended")
+    }
+
+    /// The next answer, or none where the connection ends.
+    pub fn next(&mut self) -> Option<(i32, Reply)> {
+        let mut size = [0; 4];
+        self.0.read_exact(&mut size).ok()?;
+        let mut message = vec![0; u32::from_be_bytes(size) as usize];
+        self.0.read_exact(&mut message).ok()?;
+        let mut rest = Parts(&message);
+        let kind = rest.take(4)[3];
+        rest.text();
+        let seq = rest.number() as i32;
+        if kind == 3 {
+            return Some((seq, Reply::Exception));
+        }
+        let (_, number) = rest.field().unwrap();
+        Some((
+            seq,
+            match number {
+                0 => {
+                    let (mut body, mut fields, mut good) = (Vec::new(), Texts::new(), false);
+                    while let Some(field) = rest.field() {
+                        match field.1 {
+                            1 => body = rest.text().to_vec(),
+                            2 => fields = rest.texts(),
+                            _ => good = rest.take(1)[0] == 1,
+                        }
+                    }
+                    Reply::Served { body, fields, good }
+                }
+                number => {
+                    rest.field().unwrap();
+                    if number == 1 {
+                        Reply::TurnedBack(rest.texts())
+                    } else {
+                        Reply::WrittenOff(rest.texts())
+                    }
+                }
+            },
+        ))
+    }
+}
+
+struct Parts<'a>(&'a [u8]);
+
+impl<'a> Parts<'a> {
+    fn take(&mut self, size: usize) -> &'a [u8] {
+        let (head, tail) = self.0.split_at(size);
+        self.0 = tail;
+        head
+    }
+
+    fn number(&mut self) -> u32 {
+        u32::from_be_bytes(self.take(4).try_into().unwrap())
+    }
+
+    fn text(&mut self) -> &'a [u8] {
+        let size = self.number() as usize;
+        self.take(size)
+    }
+
+    fn field(&mut self) -> Option<(u8, u16)> {
+        let kind = self.take(1)[0];
+        (kind != 0).then(|| (kind, u16::from_be_bytes(self.take(2).try_into().unwrap())))
+    }
+
+    fn texts(&mut self) -> Texts {
+        self.take(2);
+        let count = self.number();
+        let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).unwrap();
+        (0..count).map(|_| (text(self.text()), text(self.text()))).collect()
+    }
+}
--- /dev/null
+++ b/crates/router/tests/stories.rs
@@ -0,0 +1,451 @@
+//! The whole router against stand-ins: one short story for each thing that must work or was met.
+
+mod stand_in;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use stand_in::*;
+
+/// A router with one cache, a parent that nobody needs, and an origin.
+struct World {
+    cache: Cache,
+    origin: Cache,
+    log: ChangeLog,
+    router: Router,
+}
+
+fn world(deed: impl Fn(&Seen) -> Deed + Send + Sync + 'static) -> World {
+    world_with(deed, |_| {})
+}
+
+fn world_with(
+    deed: impl Fn(&Seen) -> Deed + Send + Sync + 'static,
+    change: impl FnOnce(&mut Value),
+) -> World {
+    let (cache, log) = (Cache::start(deed), ChangeLog::start());
+    let origin = Cache::start(|_| Deed::Say(served(b"saved")));
+    let parent = Cache::start(|_| Deed::Hang);
+    let members = vec![
+        member("c-1", cache.address, "cache", "active"),
+        member("p-1", parent.address, "parent", "active"),
+        member("o-1", origin.address, "origin", "active"),
+    ];
+    let mut configuration = configuration(log.address, members);
+    change(&mut configuration);
+    let router = Router::start(&configuration);
+    World { cache, origin, log, router }
+}
+
+/// The answer of a view done with this body.
+fn done(body: &[u8]) -> Reply {
+    Reply::Served { body: body.to_vec(), fields: Default::default(), good: true }
+}
+
+fn is_over(reply: &Reply) -> bool {
+    matches!(reply, Reply::TurnedBack(_) | Reply::WrittenOff(_))
+}
+
+fn fleet(seq: u64, members: Vec<Value>) -> String {
+    format!("{}\n", json!({"seq": seq, "fleet": {"revision": seq, "complete": false, "members": members}}))
+}
+
+#[test]
+fn a_view_is_served_whole_and_its_fields_go_on_unchanged() {
+    let body: Vec<u8> = (0..240_000u32).map(|i| (i * 7 % 251) as u8).collect();
+    let bytes = served(&body);
+    let world = world(move |_| Deed::Say(bytes.clone()));
+    let mut client = Client::connect(&world.router);
+    assert!(client.healthy(1));
+    let fields = [page(OBJECT, "3000"), vec![("known", "00aa")]].concat();
+    client.send(&call(2, &fields, b""));
+    assert_eq!(client.reply(), (2, done(&body)));
+    let seen = &world.cache.requests(1)[0];
+    assert_eq!(seen.line, format!("GET /v1/store/pages/{OBJECT}/3 HTTP/1.1"));
+    let header = |name: &str| seen.headers.get(name).map(String::as_str);
+    assert_eq!(header("x-ticket"), Some("9b1f03aa5c7e2d41"));
+    assert_eq!(header("x-source"), Some("p-1"));
+    assert_eq!(header("x-mode"), Some("j+r"));
+    assert_eq!(header("x-client-tag"), Some("00aa"));
+    let wait: u64 = header("x-max-ms").unwrap().parse().unwrap();
+    assert!((1..3000).contains(&wait), "{wait}");
+}
+
+#[test]
+fn the_clients_copy_holds_and_a_write_goes_straight_to_the_origin() {
+    let world = world(|_| Deed::Say(b"HTTP/1.1 304 X\r\nX-Remark: warm\r\n\r\n".to_vec()));
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    let fields = [("valid".to_string(), "1".to_string())].into();
+    assert_eq!(client.reply(), (1, Reply::Served { body: Vec::new(), fields, good: true }));
+    let fields = [("route", "saves"), ("nonce", "n-1")];
+    let fields: Vec<_> = fields.into_iter().chain(page(OBJECT, "3000").into_iter().skip(1)).collect();
+    let written = vec![7; 48_000];
+    client.send(&call(2, &fields, &written));
+    assert_eq!(client.reply(), (2, done(b"saved")));
+    let seen = &world.origin.requests(1)[0];
+    assert_eq!((&seen.body, seen.headers["x-nonce"].as_str()), (&written, "n-1"));
+}
+
+#[test]
+fn answers_come_in_any_order_and_frames_in_any_pieces() {
+    let gate = Watched::default();
+    let held = gate.clone();
+    let world = world(move |seen| match seen.line.contains(OBJECT) {
+        true => Deed::Once(held.clone(), served(b"late")),
+        false => Deed::Say(served(b"early")),
+    });
+    let mut client = Client::connect(&world.router);
+    let both =
+        [call(1, &page(OBJECT, "3000"), b""), call(2, &page("00000000000000aa", "3000"), b"")].concat();
+    client.send(&both);
+    assert_eq!(client.reply(), (2, done(b"early")));
+    gate.let_go();
+    assert_eq!(client.reply(), (1, done(b"late")));
+    for byte in call(3, &page("00000000000000ab", "3000"), b"") {
+        client.send(&[byte]);
+    }
+    assert_eq!(client.reply(), (3, done(b"early")));
+}
+
+#[test]
+fn a_cancel_closes_the_dispatch_and_owes_no_answer() {
+    let world = world(|seen| if seen.line.contains(OBJECT) { Deed::Hang } else { Deed::Say(served(b"x")) });
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    world.cache.requests(1);
+    client.cancel(99);
+    client.cancel(1);
+    world.cache.closed.wait("the dispatch to be closed", |closed| (*closed > 0).then_some(()));
+    client.cancel(1);
+    client.ask(2, "00000000000000aa");
+    assert_eq!(client.reply(), (2, done(b"x")));
+}
+
+#[test]
+fn a_client_that_closes_ends_its_views() {
+    let world = world(|_| Deed::Hang);
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    world.cache.requests(1);
+    drop(client);
+    world.cache.closed.wait("the dispatch to be closed", |closed| (*closed > 0).then_some(()));
+}
+
+#[test]
+fn a_cut_off_or_unreadable_answer_is_never_passed_on() {
+    let answers: Vec<Vec<u8>> = vec![
+        b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nshort".to_vec(),
+        b"HTTP/1.1 200 X\r\n\r\nno length".to_vec(),
+        b"HTTP/1.1 200 X\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab".to_vec(),
+        b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nab".to_vec(),
+        b"HTTP/1.1 200 X\r\nContent-Length: 99999999999\r\n\r\n".to_vec(),
+        b"what?\r\n\r\n".to_vec(),
+        answer(418, "", b"tea"),
+        [b"HTTP/1.1 200 X\r\nX-Long: ".to_vec(), vec![b'a'; 20_000]].concat(),
+    ];
+    let next = AtomicUsize::new(0);
+    let world = world(move |seen| match answers.get(next.fetch_add(1, Ordering::Relaxed)) {
+        Some(bytes) if seen.line.contains(OBJECT) => Deed::SayAndClose(bytes.clone()),
+        _ => Deed::Say(served(b"good")),
+    });
+    let mut client = Client::connect(&world.router);
+    let mut over = 0;
+    for seq in 1.. {
+        client.ask(seq, OBJECT);
+        match client.reply() {
+            (_, reply) if is_over(&reply) => over += 1,
+            reply => {
+                assert_eq!(reply, (seq, done(b"good")));
+                break;
+            }
+        }
+    }
+    assert!(over <= 8 && world.cache.count() >= 9, "{over} over, {} requests", world.cache.count());
+}
+
+#[test]
+fn a_silent_cache_costs_its_wait_and_the_view_ends_in_time() {
+    let world = world(|_| Deed::Hang);
+    let mut client = Client::connect(&world.router);
+    let asked = Instant::now();
+    client.send(&call(1, &page(OBJECT, "700"), b""));
+    let (seq, reply) = client.reply();
+    assert!(seq == 1 && is_over(&reply), "{reply:?}");
+    assert!(asked.elapsed() >= Duration::from_millis(600), "given up after {:?}", asked.elapsed());
+}
+
+#[test]
+fn what_is_given_up_is_told_when_to_come_back() {
+    let full = answer(503, "X-Shed: 1\r\n", b"");
+    let world = world(move |_| Deed::Say(full.clone()));
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    let (_, reply) = client.reply();
+    let Reply::TurnedBack(fields) = reply else { panic!("{reply:?}") };
+    assert!(fields["pause"].parse::<u64>().unwrap() <= 500);
+}
+
+#[test]
+fn a_connection_closed_while_idle_is_not_used_for_a_write() {
+    // Each answer is the last of its connection, without a word of it.
+    let world = world(|_| Deed::SayAndClose(served(b"x")));
+    let mut client = Client::connect(&world.router);
+    for seq in 1..=3 {
+        client.ask(seq, OBJECT);
+        assert_eq!(client.reply(), (seq, done(b"x")));
+        world.cache.closed.wait("the cache to close", |closed| (*closed >= seq as usize).then_some(()));
+    }
+    let seen = world.cache.requests(3);
+    assert_eq!(seen.iter().map(|seen| seen.connection).collect::<Vec<_>>(), [0, 1, 2]);
+    assert_eq!(world.cache.count(), 3, "nothing was sent twice");
+}
+
+#[test]
+fn a_new_cache_at_the_address_of_one_that_has_gone_gets_new_connections() {
+    let world = world(|_| Deed::Say(served(b"x")));
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    client.reply();
+    world.log.asks(1);
+    let address = world.cache.address;
+    let (old, new) = (member("c-1", address, "cache", "left"), member("c-2", address, "cache", "active"));
+    world.log.say(&fleet(2, vec![old, new]));
+    world.log.beat.change(|beat| *beat = Some(2));
+    world.cache.closed.wait("the old connection to go", |closed| (*closed > 0).then_some(()));
+    client.ask(2, OBJECT);
+    assert_eq!(client.reply(), (2, done(b"x")));
+    assert_eq!(world.cache.requests(2)[1].connection, 1);
+}
+
+#[test]
+fn nothing_goes_to_a_draining_cache_and_a_purge_bounds_the_age() {
+    let world = world(|_| Deed::Say(served(b"x")));
+    let mut client = Client::connect(&world.router);
+    let second = Cache::start(|_| Deed::Say(served(b"second")));
+    world.log.asks(1);
+    let drained = member("c-1", world.cache.address, "cache", "leaving");
+    let fresh = member("c-2", second.address, "cache", "active");
+    let purge = json!({"seq": 3, "invalidate": {"object": OBJECT, "time": 1}});
+    // Cut anywhere, with a line that can't be read and a repeat between.
+    let text = format!("{}not a line\n{purge}\n{purge}\n", fleet(2, vec![drained, fresh]));
+    world.log.beat.change(|beat| *beat = None);
+    for piece in text.as_bytes().chunks(7) {
+        world.log.say(std::str::from_utf8(piece).unwrap());
+    }
+    let bounded = (1..).find(|seq| {
+        client.ask(*seq, OBJECT);
+        client.reply();
+        second.seen.change(|seen| seen.iter().any(|seen| seen.headers.contains_key("x-accept-age")))
+    });
+    let before = world.cache.count();
+    client.ask(bounded.unwrap() + 1, OBJECT);
+    assert_eq!(client.reply().1, done(b"second"));
+    assert_eq!(world.cache.count(), before);
+}
+
+#[test]
+fn the_change_log_is_asked_again_after_a_gap_an_end_and_silence() {
+    let world = world(|_| Deed::Say(served(b"x")));
+    assert_eq!(world.log.asks(1), [1]);
+    let drained = || member("c-1", world.cache.address, "cache", "leaving");
+    world.log.say(&fleet(5, vec![drained()]));
+    assert_eq!(world.log.asks(2), [1, 1], "event 5 after 1: something is missing");
+    world.log.hang_up();
+    assert_eq!(world.log.asks(3), [1, 1, 1]);
+    world.log.say(&fleet(2, vec![member("c-9", world.cache.address, "cache", "left")]));
+    world.log.beat.change(|beat| *beat = None);
+    assert_eq!(world.log.asks(4), [1, 1, 1, 2], "silent for longer than its beat allows");
+}
+
+#[test]
+fn a_connect_that_hangs_past_a_drain_sends_nothing() {
+    // A listener whose queue is full takes no more connections: they neither come up nor fail.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let filling: Vec<_> = (0..4)
+        .map(|_| {
+            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            filler.set_nonblocking(true).unwrap();
+            let _ = filler.connect(&address.into());
+            filler
+        })
+        .collect();
+    let world = world_with(
+        |_| Deed::Say(served(b"other")),
+        |configuration| {
+            configuration["settings"]["limits"]["connect_timeout"] = json!(2_000_000);
+            let members = &mut configuration["known"]["results"][0]["fleet"]["members"];
+            members[0]["host_port"] = json!(address.to_string());
+        },
+    );
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    world.log.asks(1);
+    let drained = member("c-1", address, "cache", "left");
+    world.log.say(&fleet(2, vec![drained, member("c-2", world.cache.address, "cache", "active")]));
+    world.log.beat.change(|beat| *beat = Some(2));
+    // Once the router has heeded it, the old cache takes connections again.
+    let mut second = Client::connect(&world.router);
+    (1..).find(|seq| {
+        second.ask(*seq, OBJECT);
+        second.reply().1 == done(b"other")
+    });
+    drop(filling);
+    assert_eq!(client.reply(), (1, done(b"other")));
+    socket.set_nonblocking(true).unwrap();
+    while let Ok((mut stream, _)) = socket.accept() {
+        stream.set_nonblocking(false).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let read = std::io::Read::read(&mut stream, &mut [0]);
+        assert!(!matches!(read, Ok(1..)), "something was sent to a cache that is gone");
+    }
+}
+
+#[test]
+fn a_planned_restart_answers_what_is_open_and_what_still_comes() {
+    let gate = Watched::default();
+    let held = gate.clone();
+    let mut world = world(move |seen| match seen.line.contains(OBJECT) {
+        true => Deed::Once(held.clone(), served(b"late")),
+        false => Deed::Say(served(b"new")),
+    });
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    world.cache.requests(1);
+    world.router.terminate();
+    world.router.log.wait("it to stop", |log| log.iter().any(|line| line.contains("stopping")).then_some(()));
+    let mut late = Client::connect(&world.router);
+    assert!(!late.healthy(1));
+    late.ask(2, "00000000000000aa");
+    assert_eq!(late.reply(), (2, done(b"new")));
+    gate.let_go();
+    assert_eq!(client.reply(), (1, done(b"late")));
+    assert!(world.router.wait().success());
+    assert_eq!(client.next(), None);
+}
+
+#[test]
+fn what_can_be_read_gets_an_answer_and_nothing_else_costs_other_connections() {
+    let world = world(|seen| if seen.line.contains(OBJECT) { Deed::Hang } else { Deed::Say(served(b"x")) });
+    let mut other = Client::connect(&world.router);
+    other.ask(1, OBJECT);
+    world.cache.requests(1);
+    let mut client = Client::connect(&world.router);
+    client.send(&frame(1, "nonesuch", 4, &[0]));
+    assert_eq!(client.reply(), (4, Reply::Exception));
+    for (broken, field) in
+        [(0, "route"), (1, "trace"), (2, "patience"), (3, "entity"), (4, "chunk"), (5, "tag")]
+    {
+        let mut fields = page(OBJECT, "3000");
+        fields[broken].1 = "b d";
+        client.send(&call(5, &fields, b""));
+        assert_eq!(client.reply(), (5, Reply::WrittenOff([("reason".into(), field.into())].into())));
+    }
+    let nested: Vec<u8> = [12, 0, 9].repeat(10_000);
+    client.send(&frame(1, "call", 6, &nested));
+    assert!(matches!(client.reply(), (6, Reply::WrittenOff(_))));
+    client.ask(7, OBJECT);
+    client.ask(7, "00000000000000aa");
+    assert_eq!(client.reply(), (7, Reply::Exception), "the number is in use");
+    for bytes in [&[0xff; 4][..], &[0x7f, 0xff, 0xff, 0xff], &[0, 0, 0, 4, 0, 0, 0, 1]] {
+        let mut bad = Client::connect(&world.router);
+        bad.send(bytes);
+        assert_eq!(bad.next(), None);
+    }
+    other.ask(2, "00000000000000aa");
+    assert_eq!(other.reply(), (2, done(b"x")));
+}
+
+#[test]
+fn descriptors_stay_within_their_limit_and_the_rest_is_turned_back() {
+    let world = world_with(|_| Deed::Hang, |configuration| configuration["limits"]["sockets"] = json!(100));
+    // A third for clients: the idle ones make room for the new.
+    let mut idle: Vec<_> = (0..60).map(|_| Client::connect(&world.router)).collect();
+    let mut client = Client::connect(&world.router);
+    let mut open = 0;
+    for connection in 0..2 {
+        let mut more = Client::connect(&world.router);
+        for seq in 1..=32 {
+            more.send(&call(seq, &page(&format!("{:016x}", connection * 32 + seq), "3000"), b""));
+        }
+        idle.push(more);
+        open += 32;
+    }
+    let (mut answers, mut most) = (0, 0);
+    for mut connection in idle.split_off(60) {
+        for _ in 0..32 {
+            assert!(is_over(&connection.reply().1));
+            answers += 1;
+            most = most.max(world.router.descriptors());
+        }
+    }
+    assert_eq!(answers, open);
+    assert!(most <= 100, "{most} descriptors");
+    assert!(client.healthy(1));
+}
+
+#[test]
+fn slow_readers_are_given_up_and_memory_stays_bounded() {
+    let bytes = served(&vec![1; 240_000]);
+    let world = world_with(
+        move |_| Deed::Say(bytes.clone()),
+        |configuration| configuration["limits"]["memory_mb"] = json!(32),
+    );
+    let mut slow: Vec<_> = (0..12).map(|_| Client::connect(&world.router)).collect();
+    for client in &mut slow {
+        for seq in 1..=32 {
+            client.send(&call(seq, &page(&format!("{seq:016x}"), "3000"), b""));
+        }
+    }
+    // 92 MB are asked for and not taken; another client is served all the same, in the end.
+    let mut client = Client::connect(&world.router);
+    assert!(client.healthy(1));
+    let served = (2..).find(|seq| {
+        client.ask(*seq, "00000000000000aa");
+        !is_over(&client.reply().1)
+    });
+    assert!(served.is_some());
+    let peak = world.router.peak_kb();
+    assert!(peak < 40_000, "{peak} KB");
+}
+
+#[test]
+fn a_thirty_third_open_call_is_turned_back() {
+    let world = world(|_| Deed::Hang);
+    let mut client = Client::connect(&world.router);
+    for seq in 1..=33 {
+        client.send(&call(seq, &page(OBJECT, "3000"), b""));
+    }
+    assert_eq!(client.reply(), (33, Reply::TurnedBack(Default::default())));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_is_named_by_its_key() {
+    let good = configuration("127.0.0.1:1".parse().unwrap(), Vec::new());
+    let (status, text) = fails_with("{ no");
+    assert!(!status.success() && text.contains("not JSON"), "{text}");
+    let cases = [
+        ("/listen", json!("nowhere"), "listen"),
+        ("/seed", json!("xyz"), "seed"),
+        ("/changelog", Value::Null, "changelog: missing"),
+        ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/limits/memory_mb", json!("much"), "limits.memory_mb"),
+        ("/known/results", json!({}), "known.results"),
+        ("/known/results/0", json!({"seq": "one"}), "known.results[0]"),
+        ("/settings/zone", json!(7), "settings.zone"),
+        ("/settings/request_classes/1/effect", json!("odd"), "settings.request_classes[1].effect"),
+        ("/settings/request_classes/0/deadline", json!(-1), "settings.request_classes[0].deadline"),
+        ("/settings/rules/drain_grace", Value::Null, "settings.rules.drain_grace: missing"),
+        ("/settings/limits/connect_timeout", json!(0), "settings.limits.connect_timeout"),
+    ];
+    for (place, value, named) in cases {
+        let mut bad = good.clone();
+        *bad.pointer_mut(place).unwrap() = value;
+        let (status, text) = fails_with(&bad.to_string());
+        assert!(!status.success() && text.contains(named) && !text.contains("panicked"), "{place}: {text}");
+    }
+}
--- /dev/null
+++ b/crates/thrift/tests/stories.rs
@@ -0,0 +1,109 @@
+//! What a client may send, whole, cut and damaged.
+
+use bytes::{Bytes, BytesMut};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tindoor_thrift::*;
+
+fn text(out: &mut Vec<u8>, text: &[u8]) {
+    out.extend((text.len() as u32).to_be_bytes());
+    out.extend(text);
+}
+
+fn message(kind: u8, method: &str, seq: i32, arguments: &[u8]) -> Bytes {
+    let mut out = vec![0x80, 1, 0, kind];
+    text(&mut out, method.as_bytes());
+    out.extend(seq.to_be_bytes());
+    out.extend(arguments);
+    out.into()
+}
+
+fn call() -> Bytes {
+    let mut out = vec![13, 0, 1, 11, 11, 0, 0, 0, 2];
+    ["route", "pages", "chunk", "3"].iter().for_each(|word| text(&mut out, word.as_bytes()));
+    out.extend([11, 0, 2]);
+    text(&mut out, b"body");
+    // A field that is not known yet: a list of structs.
+    out.extend([15, 0, 9, 12, 0, 0, 0, 1, 8, 0, 1, 0, 0, 0, 5, 0, 0]);
+    message(1, "call", 7, &out)
+}
+
+#[test]
+fn a_call_is_read_as_slices_of_its_frame() {
+    let frame = call();
+    let Ok(Message::Call { seq: 7, fields, body }) = parse(frame.clone()) else { panic!() };
+    assert_eq!((&body[..], &fields.get("chunk").unwrap()[..]), (&b"body"[..], &b"3"[..]));
+    assert!(frame.as_ptr_range().contains(&body.as_ptr()));
+    assert!(fields.get("tag").is_none());
+}
+
+#[test]
+fn a_call_cut_at_any_byte_is_no_call() {
+    let whole = call();
+    for end in 0..whole.len() {
+        match parse(whole.slice(..end)) {
+            Err(Fault::Unreadable(_)) if end < 16 => {}
+            Err(Fault::BadArguments { seq: 7, .. }) if end >= 16 => {}
+            other => panic!("cut at {end}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn changed_bytes_are_read_or_refused_but_never_a_panic() {
+    let mut chance = Pcg64Mcg::seed_from_u64(5);
+    for _ in 0..20_000 {
+        let mut bytes = call().to_vec();
+        for _ in 0..chance.random_range(1..4) {
+            let at = chance.random_range(0..bytes.len());
+            bytes[at] = chance.random();
+        }
+        if let Ok(Message::Call { body, .. }) = parse(bytes.clone().into()) {
+            assert!(body.len() <= bytes.len());
+        }
+    }
+}
+
+#[test]
+fn what_claims_too_much_costs_nothing() {
+    // Two thousand million entries, deep nesting, negative lengths.
+    let many = message(1, "call", 1, &[13, 0, 1, 11, 11, 0x7f, 255, 255, 255]);
+    let deep = message(1, "call", 1, &[12, 0, 9].repeat(100_000));
+    let empty = message(1, "call", 1, &[15, 0, 9, 12, 0x7f, 255, 255, 255]);
+    let negative = message(1, "call", 1, &[11, 0, 2, 255, 255, 255, 255]);
+    for frame in [many, deep, empty, negative] {
+        assert!(matches!(parse(frame), Err(Fault::BadArguments { seq: 1, .. })));
+    }
+}
+
+#[test]
+fn frames_are_taken_whole_and_never_over_the_limit() {
+    let mut read = BytesMut::new();
+    let frames = [[&[0, 0, 0, 3][..], b"one"].concat(), [&[0, 0, 0, 0][..], b""].concat()].concat();
+    let mut taken = Vec::new();
+    for byte in frames {
+        read.extend_from_slice(&[byte]);
+        taken.extend(take_frame(&mut read, 10).unwrap());
+    }
+    assert_eq!(taken, [&b"one"[..], b""]);
+    for head in [[0, 0, 0, 11], [255, 255, 255, 255]] {
+        assert!(take_frame(&mut BytesMut::from(&head[..]), 10).is_err());
+    }
+}
+
+#[test]
+fn other_messages_are_told_apart() {
+    assert_eq!(parse(message(4, "cancel", 0, &[8, 0, 1, 0, 0, 0, 9, 0])), Ok(Message::Cancel { seq: 9 }));
+    assert_eq!(parse(message(1, "health", 3, &[2, 0, 1, 1, 0])), Ok(Message::Health { seq: 3 }));
+    assert_eq!(parse(message(1, "other", 4, &[0])), Err(Fault::UnknownMethod { seq: 4 }));
+    assert!(matches!(parse(message(2, "call", 4, &[0])), Err(Fault::Unreadable(_))));
+    assert!(matches!(parse(Bytes::from_static(&[0, 0, 0, 4, 99])), Err(Fault::Unreadable(_))));
+}
+
+#[test]
+fn an_answer_states_its_own_length() {
+    let reply = answer("call", 9, Bytes::from_static(b"body"), &[("valid", "1")], true);
+    let stated = u32::from_be_bytes(reply.head[..4].try_into().unwrap()) as usize;
+    assert_eq!(stated + 4, reply.size());
+    assert!(reply.head.ends_with(&[0, 0, 0, 4]));
+}
