Frames and lines as futures-lite streams; the system's send buffers of clients are bounded

A slow reader's answers lay in the system's buffers (up to 4 MB a connection by default), where the budget did not see them. They now hold about one of the longest answers.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -4,19 +4,21 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, IoSlice};
 use std::net::{TcpListener, TcpStream};
+use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use bytes::{Buf, Bytes, BytesMut};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, Stream, StreamExt, future, stream};
+use socket2::SockRef;
 use tindoor_thrift::{Fault, Message, Objection, Reply, aborted, application_exception, try_later};
 
 use crate::Router;
 use crate::caches::Held;
 use crate::desk::{Order, Slot};
-use crate::limits::within;
+use crate::limits::{Limits, within};
 use crate::view::{self, Call};
 
 /// Frames up to this size are copied out of what was read: a view outlives it, and would pin all of it.
@@ -119,6 +121,8 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.get_ref().set_nodelay(true);
+                // What the system buffers for a client that reads slowly counts as memory, too.
+                let _ = SockRef::from(stream.get_ref()).set_send_buffer_size(router.limits.send_buffer);
                 let client = Rc::new(Client::new(Rc::clone(&router.unwritten)));
                 clients.push(Rc::downgrade(&client));
                 router.executor.spawn(converse(Rc::clone(&router), client, stream)).detach();
@@ -151,26 +155,36 @@
 }
 
 async fn read(router: &Rc<Router>, client: &Rc<Client>, stream: &Async<TcpStream>) -> io::Result<()> {
-    let mut stream = stream;
-    let mut read = BytesMut::new();
-    loop {
-        let filled = read.len();
-        read.resize(filled + router.limits.read, 0);
-        let more = stream.read(&mut read[filled..]).await?;
-        read.truncate(filled + more);
-        if more == 0 {
-            return Ok(());
-        }
-        let arrived = Instant::now();
+    let mut frames = pin!(frames(stream, router.limits));
+    while let Some((frame, arrived)) = frames.try_next().await? {
         client.used.set(arrived);
+        take(router, client, frame, arrived)?;
+    }
+    Ok(())
+}
+
+/// The frames that a client sends, each with when its last byte was read.
+fn frames(
+    stream: &Async<TcpStream>,
+    limits: Limits,
+) -> impl Stream<Item = io::Result<(Bytes, Instant)>> + use<'_> {
+    stream::try_unfold((BytesMut::new(), Instant::now()), move |(mut read, mut arrived)| async move {
+        let mut stream = stream;
         loop {
-            match tindoor_thrift::take_frame(&mut read, router.limits.frame) {
-                Ok(Some(frame)) => take(router, client, frame, arrived)?,
-                Ok(None) => break,
-                Err(fault) => return Err(unreadable(fault)),
+            let frame = tindoor_thrift::take_frame(&mut read, limits.frame).map_err(unreadable)?;
+            if let Some(frame) = frame {
+                return Ok(Some(((frame, arrived), (read, arrived))));
             }
+            let filled = read.len();
+            read.resize(filled + limits.read, 0);
+            let more = stream.read(&mut read[filled..]).await?;
+            read.truncate(filled + more);
+            if more == 0 {
+                return Ok(None);
+            }
+            arrived = Instant::now();
         }
-    }
+    })
 }
 
 fn unreadable(fault: Fault) -> io::Error {
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -1,19 +1,20 @@
 //! The change log: what it tells of caches and purges goes to the connections and to the module.
 
 use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Result, bail, ensure};
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, Stream, StreamExt, stream};
 use tindoor::host::{ListForm, Listed, Standing};
 use tindoor::time::Moment;
 use tindoor_changelog::{Event, Fleet, Line, Phase, Purge};
 
 use crate::Router;
 use crate::desk::Clock;
-use crate::limits::within;
+use crate::limits::{Limits, within};
 
 /// How far the change log is known.
 pub struct Place {
@@ -42,16 +43,30 @@
     let mut stream = within(limits.feed_connect, Async::<TcpStream>::connect(address)).await?;
     stream.write_all(format!("since {}\n", place.seq).as_bytes()).await?;
     place.unread = 0;
-    let (mut read, mut chunk) = (Vec::new(), vec![0; limits.read]);
-    loop {
-        let more = within(limits.feed_silence, stream.read(&mut chunk)).await?;
-        ensure!(more > 0, "closed by the other side");
-        read.extend_from_slice(&chunk[..more]);
-        while let Some(line) = tindoor_changelog::take_line(&mut read) {
-            take(router, place, &line)?;
-        }
-        ensure!(read.len() <= limits.line, "a line over the limit");
+    let mut lines = pin!(lines(stream, *limits));
+    while let Some(line) = lines.try_next().await? {
+        take(router, place, &line)?;
     }
+    bail!("closed by the other side")
+}
+
+/// The lines that the change log says.
+fn lines(stream: Async<TcpStream>, limits: Limits) -> impl Stream<Item = Result<Vec<u8>>> {
+    stream::try_unfold((stream, Vec::new()), move |(mut stream, mut read)| async move {
+        loop {
+            if let Some(line) = tindoor_changelog::take_line(&mut read) {
+                return Ok(Some((line, (stream, read))));
+            }
+            ensure!(read.len() <= limits.line, "a line over the limit");
+            let filled = read.len();
+            read.resize(filled + limits.read, 0);
+            let more = within(limits.feed_silence, stream.read(&mut read[filled..])).await?;
+            read.truncate(filled + more);
+            if more == 0 {
+                return Ok(None);
+            }
+        }
+    })
 }
 
 fn take(router: &Router, place: &mut Place, line: &[u8]) -> Result<()> {
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -37,6 +37,8 @@
     pub head: usize,
     /// The longest line of the change log.
     pub line: usize,
+    /// What the system may buffer of a client's answers: about one of the longest.
+    pub send_buffer: usize,
     /// How much is read at a time.
     pub read: usize,
     /// How long a connection may take to come up.
@@ -73,6 +75,7 @@
             body: 240_000,
             head: 8 << 10,
             line: 1 << 20,
+            send_buffer: 256 << 10,
             read: 16 << 10,
             connect: machine.connect,
             cache_idle: machine.cache_idle / 2,
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -68,6 +68,7 @@
 
 async fn run(executor: Rc<LocalExecutor<'static>>, deployment: Deployment) -> Result<()> {
     let Deployment { name, listen, seed, limits, .. } = deployment;
+    // For pauses between connections only; the module draws from a seed of its own.
     fastrand::seed(seed);
     let decisions =
         Decisions::start(deployment.facts, seed).map_err(|fact| anyhow::anyhow!("settings: {fact}"))?;
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -410,7 +410,7 @@
     });
     assert!(served.is_some());
     let peak = world.router.peak_kb();
-    assert!(peak < 40_000, "{peak} KB");
+    assert!(peak < 32_000, "{peak} KB");
 }
 
 #[test]
