--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -292,8 +292,8 @@
         link: &mut Link,
         budget: &Rc<Budget>,
     ) -> Result<(End, Option<Held>, bool), anyhow::Error> {
-        let Limits { head: longest_head, body: longest_body, .. } = self.limits;
-        let mut read = BytesMut::zeroed(2048);
+        let Limits { head: longest_head, body: longest_body, first_read, .. } = self.limits;
+        let mut read = BytesMut::zeroed(first_read);
         let mut filled = 0;
         let head = loop {
             if filled == read.len() {
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -7,7 +7,7 @@
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::task::{Poll, Waker};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use async_io::{Async, Timer};
 use bytes::{Buf, Bytes, BytesMut};
@@ -21,9 +21,6 @@
 use crate::limits::{Limits, within};
 use crate::view::{self, Call};
 
-/// Frames up to this size are copied out of what was read: a view outlives it, and would pin all of it.
-const SMALL: usize = 4096;
-
 /// An answer on its way to the client, with the memory that it stands for.
 struct Given {
     reply: Reply,
@@ -55,9 +52,12 @@
         }
     }
 
-    /// The final answer of a call.
-    pub fn answer(&self, seq: i32, reply: Reply, held: Option<Held>) {
-        if self.open.borrow_mut().remove(&seq).is_some() {
+    /// The final answer of a call, unless nobody waits for it any more. A client may use the number of a call
+    /// that it has cancelled again: the slot tells the two apart.
+    pub fn answer(&self, seq: i32, slot: &Rc<Slot>, reply: Reply, held: Option<Held>) {
+        let waits = self.open.borrow().get(&seq).is_some_and(|open| Rc::ptr_eq(open, slot));
+        if waits {
+            self.open.borrow_mut().remove(&seq);
             self.send(reply, held);
         }
     }
@@ -109,34 +109,32 @@
     let mut clients: Vec<Weak<Client>> = Vec::new();
     loop {
         clients.retain(|client| client.strong_count() > 0);
-        if clients.len() >= router.limits.client_connections {
-            // The longest idle one makes room; while none is, new ones wait to be accepted.
-            let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
-            if let Some(oldest) = idle.min_by_key(|client| client.used.get()) {
-                oldest.close();
-            }
-            Timer::after(Duration::from_millis(5)).await;
-            continue;
-        }
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        let room = clients.len() < router.limits.client_connections;
+        let accepted = if room { Some(listener.accept().await) } else { None };
+        match accepted {
+            Some(Ok((stream, _))) => {
                 let _ = stream.get_ref().set_nodelay(true);
                 // What the system buffers for a client that reads slowly counts as memory, too.
                 let _ = SockRef::from(stream.get_ref()).set_send_buffer_size(router.limits.send_buffer);
                 let client = Rc::new(Client::new(Rc::clone(&router.unwritten)));
                 clients.push(Rc::downgrade(&client));
                 router.executor.spawn(converse(Rc::clone(&router), client, stream)).detach();
+                continue;
             }
-            Err(error) => {
-                tracing::warn!(%error, "can't accept; closing idle connections");
-                router.caches.sweep();
-                let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
-                if let Some(oldest) = idle.min_by_key(|client| client.used.get()) {
-                    oldest.close();
+            Some(Err(error)) => {
+                if let Some(times) = router.no_room.told() {
+                    tracing::warn!(%error, times, "can't accept; closing idle connections");
                 }
-                Timer::after(Duration::from_millis(20)).await;
+                router.caches.sweep();
             }
+            None => {}
+        }
+        // The longest idle one makes room; while none is, new ones wait to be accepted.
+        let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
+        if let Some(oldest) = idle.min_by_key(|client| client.used.get()) {
+            oldest.close();
         }
+        Timer::after(router.limits.look_again).await;
     }
 }
 
@@ -195,7 +193,7 @@
 /// Takes one frame; an error closes the connection.
 fn take(router: &Rc<Router>, client: &Rc<Client>, frame: Bytes, arrived: Instant) -> io::Result<()> {
     let size = frame.len();
-    let frame = if size <= SMALL { Bytes::copy_from_slice(&frame) } else { frame };
+    let frame = if size <= router.limits.small_frame { Bytes::copy_from_slice(&frame) } else { frame };
     match tindoor_thrift::parse(frame) {
         Ok(Message::Health { seq }) => {
             let good = !router.stopping.get();
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::{Result, bail, ensure};
+use anyhow::{Result, bail};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, Stream, StreamExt, stream};
 use tindoor::host::{ListForm, Listed, Standing};
@@ -57,7 +57,8 @@
             if let Some(line) = tindoor_changelog::take_line(&mut read) {
                 return Ok(Some((line, (stream, read))));
             }
-            ensure!(read.len() <= limits.line, "a line over the limit");
+            // The rest of a line over the limit is dropped: cut short it can't be read, but the next ones can.
+            read.truncate(limits.line);
             let filled = read.len();
             read.resize(filled + limits.read, 0);
             let more = within(limits.feed_silence, stream.read(&mut read[filled..])).await?;
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -31,10 +31,16 @@
     pub buffered: usize,
     /// The longest frame of a client, without its length.
     pub frame: usize,
+    /// Frames up to this size are copied out of what was read: a view outlives it, and would pin all of it.
+    pub small_frame: usize,
+    /// The longest text of a field.
+    pub text: usize,
     /// The longest body of an object.
     pub body: usize,
     /// The longest head of a cache's answer.
     pub head: usize,
+    /// How much of an answer is read at first, before its length is known.
+    pub first_read: usize,
     /// The longest line of the change log.
     pub line: usize,
     /// What the system may buffer of a client's answers: about one of the longest.
@@ -55,6 +61,8 @@
     pub feed_pause: Duration,
     /// How long views may still come after SIGTERM.
     pub last_calls: Duration,
+    /// How long to wait before looking again whether a connection can be accepted, or the router can end.
+    pub look_again: Duration,
     /// How often idle connections are looked through.
     pub sweep: Duration,
 }
@@ -72,8 +80,11 @@
             open_calls: 32,
             buffered: memory / 2,
             frame: 64 << 10,
+            small_frame: 4 << 10,
+            text: 128,
             body: 240_000,
             head: 8 << 10,
+            first_read: 2 << 10,
             line: 1 << 20,
             send_buffer: 256 << 10,
             read: 16 << 10,
@@ -84,6 +95,7 @@
             feed_connect: Duration::from_secs(1),
             feed_pause: Duration::from_millis(100),
             last_calls: Duration::from_millis(800),
+            look_again: Duration::from_millis(10),
             sweep: Duration::from_secs(1),
         }
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -12,13 +12,13 @@
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use anyhow::{Context, Result};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::{StreamExt, future};
+use futures_lite::StreamExt;
 
 use caches::{Budget, Caches};
 use configuration::{Deployment, Offering};
@@ -118,8 +118,7 @@
         || router.decisions.open_views() > 0
         || router.unwritten.get() > 0
     {
-        Timer::after(Duration::from_millis(10)).await;
-        future::yield_now().await;
+        Timer::after(router.limits.look_again).await;
     }
     tracing::info!("stopped");
 }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -52,7 +52,7 @@
             if let Some(times) = router.unreadable.told() {
                 tracing::warn!(field, times, "a call with a field that can't be used");
             }
-            client.answer(seq, aborted(seq, &[("reason", field)]), None);
+            client.answer(seq, &slot, aborted(seq, &[("reason", field)]), None);
             return router.decisions.close_view(no);
         }
     };
@@ -91,11 +91,11 @@
             Happened::Order(Order::TurnBack(come_back)) => {
                 let pause = come_back.map(|span| (span.as_micros() / 1000).to_string());
                 let fields: Vec<_> = pause.iter().map(|pause| ("pause", pause.as_str())).collect();
-                client.answer(seq, try_later(seq, &fields), None);
+                client.answer(seq, &slot, try_later(seq, &fields), None);
                 answered = true;
             }
             Happened::Order(Order::WriteOff) => {
-                client.answer(seq, aborted(seq, &[]), None);
+                client.answer(seq, &slot, aborted(seq, &[]), None);
                 answered = true;
             }
             Happened::Order(Order::Left) => {
@@ -111,7 +111,7 @@
                 tell_end(&router, no, &dispatch, (end.verdict, end.note), answered || done);
                 if done && !answered {
                     let fields: &[_] = if end.valid { &[("valid", "1")] } else { &[] };
-                    client.answer(seq, answer("call", seq, end.body, fields, true), held);
+                    client.answer(seq, &slot, answer("call", seq, end.body, fields, true), held);
                     answered = true;
                 }
             }
@@ -169,7 +169,9 @@
 
 /// Reads the fields of a call; names the one that is missing or can't be used.
 fn wanted<'a>(router: &Router, call: &'a Call) -> Result<Wanted<'a>, &'static str> {
-    let text = |name: &'static str| call.fields.get(name).map(|value| plain(value).ok_or(name)).transpose();
+    let text = |name: &'static str| {
+        call.fields.get(name).map(|value| plain(value, router.limits.text).ok_or(name)).transpose()
+    };
     let needed = |name: &'static str| text(name)?.ok_or(name);
     let number = |name: &'static str| needed(name)?.parse::<u32>().map_err(|_| name);
     let hex = |name: &'static str| {
@@ -205,7 +207,7 @@
 }
 
 /// Text that can stand in a header or a path as it is.
-fn plain(value: &[u8]) -> Option<&str> {
-    let graphic = !value.is_empty() && value.len() <= 128 && value.iter().all(u8::is_ascii_graphic);
+fn plain(value: &[u8], longest: usize) -> Option<&str> {
+    let graphic = !value.is_empty() && value.len() <= longest && value.iter().all(u8::is_ascii_graphic);
     std::str::from_utf8(value).ok().filter(|_| graphic)
 }
