--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -1,5 +1,6 @@
 //! The change log: what it tells of caches and purges goes to the connections and to the module.
 
+use std::convert::Infallible;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
 use std::rc::Rc;
@@ -14,7 +15,7 @@
 
 use crate::Router;
 use crate::desk::Clock;
-use crate::limits::{Limits, within};
+use crate::limits::{Limits, Seldom, within};
 
 /// How far the change log is known.
 pub struct Place {
@@ -28,9 +29,11 @@
 
 /// Follows the change log from `place` on, over one connection after another; never ends.
 pub async fn follow(router: Rc<Router>, address: SocketAddr, mut place: Place) {
+    let ended = Seldom::default();
     loop {
-        if let Err(what) = listen(&router, address, &mut place).await {
-            tracing::warn!(%what, seq = place.seq, "the change log's connection ended");
+        let Err(what) = listen(&router, address, &mut place).await;
+        if let Some(times) = ended.told() {
+            tracing::warn!(%what, seq = place.seq, times, "the change log's connection ended");
         }
         let pause = router.limits.feed_pause;
         let jitter = Duration::from_secs_f64(pause.as_secs_f64() * fastrand::f64());
@@ -38,7 +41,8 @@
     }
 }
 
-async fn listen(router: &Router, address: SocketAddr, place: &mut Place) -> Result<()> {
+/// One connection to the change log, until it ends.
+async fn listen(router: &Router, address: SocketAddr, place: &mut Place) -> Result<Infallible> {
     let limits = &router.limits;
     let mut stream = within(limits.feed_connect, Async::<TcpStream>::connect(address)).await?;
     stream.write_all(format!("since {}\n", place.seq).as_bytes()).await?;
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -265,20 +265,27 @@
     file: PathBuf,
 }
 
-/// Starts the program with this configuration text.
-fn spawn(text: &str) -> (Child, PathBuf) {
+/// Starts the program with this configuration text, and perhaps fewer descriptors than it expects.
+fn spawn(text: &str, descriptors: Option<u32>) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let unique = format!("tindoor-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let file = std::env::temp_dir().join(unique);
     std::fs::write(&file, text).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_tindoor"));
-    let child = command.env("PROXY_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap();
+    let limit = descriptors.map_or(String::new(), |descriptors| format!("ulimit -n {descriptors}; "));
+    let mut command = Command::new("sh");
+    command.arg("-c").arg(format!("{limit}exec '{}'", env!("CARGO_BIN_EXE_tindoor")));
+    let child = command
+        .env("PROXY_CONFIG", &file)
+        .env("TINDOOR_LOG", "debug")
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
     (child, file)
 }
 
 /// Runs the program with a configuration that it can't use: how it ended and what it said.
 pub fn fails_with(text: &str) -> (ExitStatus, String) {
-    let (child, file) = spawn(text);
+    let (child, file) = spawn(text, None);
     let output = child.wait_with_output().unwrap();
     let _ = std::fs::remove_file(file);
     (output.status, String::from_utf8(output.stderr).unwrap())
@@ -286,7 +293,11 @@
 
 impl Router {
     pub fn start(configuration: &Value) -> Self {
-        let (mut child, file) = spawn(&configuration.to_string());
+        Self::start_with(configuration, None)
+    }
+
+    pub fn start_with(configuration: &Value, descriptors: Option<u32>) -> Self {
+        let (mut child, file) = spawn(&configuration.to_string(), descriptors);
         let (log, lines) = (Watched::<Vec<String>>::default(), BufReader::new(child.stderr.take().unwrap()));
         let logged = log.clone();
         thread::spawn(move || {
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -2,10 +2,13 @@
 
 mod stand_in;
 
+use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use stand_in::*;
 
 /// A router with one cache, a parent that nobody needs, and an origin.
@@ -262,59 +265,115 @@
     assert_eq!(world.log.asks(4), [1, 1, 1, 2], "silent for longer than its beat allows");
 }
 
-#[test]
-fn a_connect_that_hangs_past_a_drain_sends_nothing() {
-    // A listener whose queue is full takes no more connections: they neither come up nor fail.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
-    socket.listen(0).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
-    let filling: Vec<_> = (0..4)
-        .map(|_| {
-            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+/// A cache whose queue of connections is full: they neither come up nor fail until it is opened.
+struct Stuck {
+    socket: Socket,
+    address: SocketAddr,
+    _queue: Vec<Socket>,
+}
+
+impl Stuck {
+    fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        let fill = |_| {
+            let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
             filler.set_nonblocking(true).unwrap();
             let _ = filler.connect(&address.into());
             filler
-        })
-        .collect();
-    let world = world_with(
-        |_| Deed::Say(served(b"other")),
-        |configuration| {
-            configuration["settings"]["limits"]["connect_timeout"] = json!(60_000_000);
-            let members = &mut configuration["known"]["results"][0]["fleet"]["members"];
-            members[0]["host_port"] = json!(address.to_string());
-        },
-    );
-    let mut client = Client::connect(&world.router);
-    client.ask(1, OBJECT);
-    // Answered after the view was begun.
-    assert!(client.healthy(2));
-    world.log.asks(1);
-    let drained = member("c-1", address, "cache", "left");
-    world.log.say(&fleet(2, vec![drained, member("c-2", world.cache.address, "cache", "active")]));
-    world.log.beat.change(|beat| *beat = Some(2));
-    // Once the router has heeded it, the old cache takes connections again: the one that hung comes up.
-    let (mut second, mut seq) = (Client::connect(&world.router), 0);
-    until("the list to be heeded", || {
-        seq += 1;
-        second.ask(seq, "00000000000000aa");
-        let (served, reply) = second.reply();
-        served == seq && reply == done(b"other")
-    });
-    let sent = Watched::<usize>::default();
-    let counted = sent.clone();
-    std::thread::spawn(move || {
-        while let Ok((mut stream, _)) = socket.accept() {
-            let counted = counted.clone();
-            std::thread::spawn(move || {
-                let read = std::io::Read::read(&mut stream, &mut [0]).unwrap_or(0);
-                counted.change(|count| *count += read);
-            });
-        }
-    });
+        };
+        Self { socket, address, _queue: (0..4).map(fill).collect() }
+    }
+
+    /// Takes connections from now on, and answers; gives what it is asked.
+    fn open(&self) -> Watched<Vec<String>> {
+        let (asked, socket) = (Watched::<Vec<String>>::default(), self.socket.try_clone().unwrap());
+        let all = asked.clone();
+        std::thread::spawn(move || {
+            while let Ok((mut stream, _)) = socket.accept() {
+                let all = all.clone();
+                std::thread::spawn(move || {
+                    let mut read = [0; 4096];
+                    if let Ok(size @ 1..) = stream.read(&mut read) {
+                        all.change(|all| all.push(String::from_utf8_lossy(&read[..size]).into_owned()));
+                        let _ = stream.write_all(&served(b"stuck"));
+                    }
+                });
+            }
+        });
+        asked
+    }
+
+    /// A router whose only cache is this one, with a view that has begun to connect to it.
+    fn world(&self) -> (World, Client) {
+        let world = world_with(
+            |_| Deed::Say(served(b"other")),
+            |configuration| {
+                configuration["settings"]["limits"]["connect_timeout"] = json!(60_000_000);
+                let members = &mut configuration["known"]["results"][0]["fleet"]["members"];
+                members[0]["host_port"] = json!(self.address.to_string());
+            },
+        );
+        let mut client = Client::connect(&world.router);
+        client.ask(1, OBJECT);
+        // Answered after the view was begun.
+        assert!(client.healthy(2));
+        world.log.asks(1);
+        world.log.beat.change(|beat| *beat = None);
+        (world, client)
+    }
+}
+
+impl World {
+    fn heeds(&self, word: &str) {
+        let heeded = |log: &mut Vec<String>| log.iter().any(|line| line.contains(word)).then_some(());
+        self.router.log.wait("an event to be heeded", heeded);
+    }
+}
+
+#[test]
+fn a_connect_that_hangs_past_a_drain_sends_nothing() {
+    let stuck = Stuck::new();
+    let (world, mut client) = stuck.world();
+    let gone = member("c-1", stuck.address, "cache", "left");
+    world.log.say(&fleet(2, vec![gone, member("c-2", world.cache.address, "cache", "active")]));
+    world.heeds("seq: 2");
+    let asked = stuck.open();
     assert_eq!(client.reply(), (1, done(b"other")));
-    drop(filling);
-    assert_eq!(sent.change(|sent| *sent), 0, "something was sent to a cache that is gone");
+    assert_eq!(asked.change(|asked| asked.clone()), [""; 0]);
+}
+
+#[test]
+fn a_connect_that_hangs_past_a_purge_asks_for_no_older_copy() {
+    let stuck = Stuck::new();
+    let (world, mut client) = stuck.world();
+    let purge = json!({"seq": 2, "invalidate": {"object": OBJECT, "time": 1}});
+    world.log.say(&format!("{purge}\n"));
+    world.heeds("seq: 2");
+    let asked = stuck.open();
+    assert_eq!(client.reply(), (1, done(b"stuck")));
+    let asked = asked.change(|asked| asked.clone());
+    assert!(asked.iter().all(|asked| asked.contains("X-Accept-Age")), "{asked:?}");
+}
+
+#[test]
+fn where_the_system_allows_fewer_descriptors_than_stated_all_is_answered_still() {
+    let (cache, log) = (Cache::start(|_| Deed::Hang), ChangeLog::start());
+    let members = vec![
+        member("c-1", cache.address, "cache", "active"),
+        member("p-1", cache.address, "parent", "active"),
+        member("o-1", cache.address, "origin", "active"),
+    ];
+    let router = Router::start_with(&configuration(log.address, members), Some(40));
+    let _idle: Vec<_> = (0..60).map(|_| Client::connect(&router)).collect();
+    let mut client = Client::connect(&router);
+    for seq in 1..=32 {
+        client.send(&call(seq, &page(&format!("{seq:016x}"), "2000"), b""));
+    }
+    (0..32).for_each(|_| assert!(is_over(&client.reply().1)));
+    assert!(client.healthy(33));
 }
 
 #[test]
