--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use socket2::SockRef;
 
 /// Far more than anything here takes, also on a slow machine.
 const LONGEST: Duration = Duration::from_secs(60);
@@ -65,6 +66,8 @@
 pub enum Deed {
     Say(Vec<u8>),
     SayAndClose(Vec<u8>),
+    /// The connection is reset.
+    Reset,
     /// Nothing, until the router closes the connection.
     Hang,
     /// The answer comes once the test lets it go.
@@ -148,6 +151,7 @@
                     writer.write_all(&bytes)?;
                     return writer.shutdown(Shutdown::Both);
                 }
+                Deed::Reset => return SockRef::from(&writer).set_linger(Some(Duration::ZERO)),
                 Deed::Hang => return reader.read(&mut [0]).map(drop),
                 Deed::Once(gate, bytes) => {
                     gate.wait("the test to let an answer go", |open| open.then_some(()));
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -168,6 +168,40 @@
     assert!(over <= 8 && world.cache.count() >= 9, "{over} over, {} requests", world.cache.count());
 }
 
+#[test]
+fn caches_that_refuse_or_reset_cost_a_view_a_dispatch_and_not_its_answer() {
+    let refusing = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let resetting = Cache::start(|_| Deed::Reset);
+    let world = world_with(
+        |_| Deed::Say(served(b"good")),
+        |configuration| {
+            let members = &mut configuration["known"]["results"][0]["fleet"]["members"];
+            for (id, address) in [("c-2", refusing), ("c-3", resetting.address)] {
+                members.as_array_mut().unwrap().push(member(id, address, "cache", "active"));
+            }
+        },
+    );
+    let mut client = Client::connect(&world.router);
+    for seq in 1..=30 {
+        client.ask(seq, &format!("{seq:016x}"));
+        assert_eq!(client.reply(), (seq, done(b"good")));
+    }
+    assert!(resetting.count() > 0, "it was tried");
+    world.heeds("Unreachable");
+}
+
+#[test]
+fn idle_connections_go_well_before_their_cache_closes_them() {
+    let world = world_with(
+        |_| Deed::Say(served(b"x")),
+        |configuration| configuration["settings"]["limits"]["conn_idle"] = json!(2_000_000),
+    );
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    assert_eq!(client.reply(), (1, done(b"x")));
+    world.cache.closed.wait("the router to close", |closed| (*closed > 0).then_some(()));
+}
+
 #[test]
 fn a_silent_cache_costs_its_wait_and_the_view_ends_in_time() {
     let world = world(|_| Deed::Hang);
@@ -439,8 +473,28 @@
 }
 
 #[test]
-fn descriptors_stay_within_their_limit_and_the_rest_is_turned_back() {
-    let world = world_with(|_| Deed::Hang, |configuration| configuration["limits"]["sockets"] = json!(100));
+fn descriptors_stay_within_their_limit_while_caches_hang() {
+    burst_within_descriptors(None);
+}
+
+#[test]
+fn descriptors_stay_within_their_limit_while_connects_hang() {
+    let stuck = Stuck::new();
+    burst_within_descriptors(Some(stuck.address));
+}
+
+/// More views than connections to a cache that never answers, or never lets one come up.
+fn burst_within_descriptors(address: Option<SocketAddr>) {
+    let world = world_with(
+        |_| Deed::Hang,
+        |configuration| {
+            configuration["limits"]["sockets"] = json!(100);
+            if let Some(address) = address {
+                let members = &mut configuration["known"]["results"][0]["fleet"]["members"];
+                members[0]["host_port"] = json!(address.to_string());
+            }
+        },
+    );
     let (most, over) = (Watched::<usize>::default(), Watched::<bool>::default());
     let (sampled, ended, pid) = (most.clone(), over.clone(), world.router.pid());
     let sampler = std::thread::spawn(move || {
