One that asks and never reads is not heard; warnings of unreadable clients told seldom

Refusals and health answers stood for no memory: a client that sent them without end and read nothing grew the queue of answers for five seconds. At 128 waiting answers no more is read from its connection; a story floods one.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -141,8 +141,14 @@
 /// One connection until either side closes it; what is still open then has nobody waiting.
 async fn converse(router: Rc<Router>, client: Rc<Client>, stream: Async<TcpStream>) {
     let ended = future::or(read(&router, &client, &stream), write(&router, &client, &stream)).await;
-    if let Err(what) = ended {
-        tracing::debug!(%what, "a connection of a client ended");
+    match ended {
+        Err(what) if what.kind() == io::ErrorKind::InvalidData => {
+            if let Some(times) = router.unreadable.told() {
+                tracing::warn!(%what, times, "a client's connection is closed: it can't be read");
+            }
+        }
+        Err(what) => tracing::debug!(%what, "a connection of a client ended"),
+        Ok(()) => {}
     }
     client.closing.set(true);
     let unwritten = client.replies.borrow_mut().drain(..).count();
@@ -157,6 +163,10 @@
     while let Some((frame, arrived)) = frames.try_next().await? {
         client.used.set(arrived);
         take(router, client, frame, arrived)?;
+        // Refusals and `health` stand for no memory in the budget: one that asks and never reads is not heard.
+        while client.replies.borrow().len() >= router.limits.replies {
+            Timer::after(router.limits.look_again).await;
+        }
     }
     Ok(())
 }
@@ -186,8 +196,7 @@
 }
 
 fn unreadable(fault: Fault) -> io::Error {
-    tracing::warn!(?fault, "a client's connection is closed: it can't be read");
-    io::Error::new(io::ErrorKind::InvalidData, "unreadable")
+    io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"))
 }
 
 /// Takes one frame; an error closes the connection.
@@ -231,7 +240,9 @@
             client.send(application_exception(seq, Objection::UnknownMethod, "no such method"), None);
         }
         Err(Fault::BadArguments { seq, what }) => {
-            tracing::warn!(what, "a call whose arguments can't be read");
+            if let Some(times) = router.unreadable.told() {
+                tracing::warn!(what, times, "a call whose arguments can't be read");
+            }
             client.send(aborted(seq, &[("reason", what)]), None);
         }
         Err(fault) => return Err(unreadable(fault)),
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -27,6 +27,8 @@
     pub open_views: usize,
     /// Open calls on one connection.
     pub open_calls: usize,
+    /// Answers that may wait on one connection before no more is read from it.
+    pub replies: usize,
     /// Bytes of bodies and frames held at once.
     pub buffered: usize,
     /// The longest frame of a client, without its length.
@@ -78,6 +80,7 @@
             cache_connections: machine.descriptors.saturating_sub(client_connections + kept).max(1),
             open_views: machine.open_views,
             open_calls: 32,
+            replies: 128,
             buffered: memory / 2,
             frame: 64 << 10,
             small_frame: 4 << 10,
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -549,6 +549,27 @@
     assert!(peak < 32_000, "{peak} KB");
 }
 
+#[test]
+fn a_client_that_asks_and_never_reads_is_given_up_before_it_costs_memory() {
+    let world = world_with(
+        |_| Deed::Say(served(b"x")),
+        |configuration| configuration["limits"]["memory_mb"] = json!(32),
+    );
+    let mut flood = Client::connect(&world.router);
+    let asks = frame(1, "health", 1, &[0]).repeat(1000);
+    let flooding = std::thread::spawn(move || while flood.0.write_all(&asks).is_ok() {});
+    let mut client = Client::connect(&world.router);
+    let mut seq = 0;
+    until("the flood to end", || {
+        seq += 1;
+        client.ask(seq, OBJECT);
+        assert_eq!(client.reply(), (seq, done(b"x")));
+        flooding.is_finished()
+    });
+    let peak = world.router.peak_kb();
+    assert!(peak < 32_000, "{peak} KB");
+}
+
 #[test]
 fn a_thirty_third_open_call_is_turned_back() {
     let world = world(|_| Deed::Hang);
