SIGHUP reads the configuration again and moves the change log; a stop ends in time

Cause: main.rs asked for SIGTERM and SIGINT only, and the default action of SIGHUP ends the process. Ruled out: nothing else is logged before the exit, and the exit code is the signal's.

Now: the file is read through configuration and checked whole; the feed's task is dropped wherever it stands, also in a connect that hangs, and another goes on from our own number. What can't be used is logged with its key and changes nothing; other changed keys are named as needing a restart. feed_silence 2.5 s -> 1.8 s: 2.5 + pause + a first connect that hangs left no margin within 4 s. stop had no bound: a view longer than 3 s would meet SIGKILL. Views that come while stopping are given up by the module before the end; what is still open then is written off by the router.

Two stories, both fail without the change.

--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -1,10 +1,11 @@
 //! The one place where configuration is read, checked and given defaults.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow, ensure};
-use serde_json::Value;
+use serde_json::{Map, Value};
 use tindoor::host::Facts;
 use tindoor_changelog::Event;
 
@@ -25,12 +26,25 @@
     pub locations: Vec<String>,
     pub kinds: Vec<String>,
     pub limits: Limits,
+    pub fixed: Fixed,
+}
+
+/// What holds from the start to the end of the process, by its keys.
+pub struct Fixed(Map<String, Value>);
+
+impl Fixed {
+    /// The keys whose values are not the same in both.
+    pub fn differ<'a>(&'a self, other: &'a Self) -> BTreeSet<&'a str> {
+        let keys = self.0.keys().chain(other.0.keys()).map(String::as_str);
+        keys.filter(|key| self.0.get(*key) != other.0.get(*key)).collect()
+    }
 }
 
 pub struct Offering {
     pub name: String,
     /// A repeat is told by its nonce.
     pub tagged: bool,
+    pub cut_off: Duration,
 }
 
 /// The JSON object, and where in the configuration it stands, for messages.
@@ -96,13 +110,12 @@
     let (classes, path) = settings.list("request_classes")?;
     let offering = |(i, class): (usize, &Value)| {
         let class = Place(class, format!("{path}[{i}]"));
-        for key in ["deadline", "objective"] {
-            class.number(key, [1, u64::MAX], None)?;
-        }
+        class.number("objective", [1, u64::MAX], None)?;
+        let cut_off = Duration::from_micros(class.number("deadline", [1, u64::MAX], None)?);
         let effect = class.word("effect")?;
         let known = ["read_like", "idempotency_key", "non_idempotent"].contains(&effect);
         ensure!(known, "{}.effect: {effect:?} is not known", class.1);
-        Ok(Offering { name: class.word("name")?.to_string(), tagged: effect == "idempotency_key" })
+        Ok(Offering { name: class.word("name")?.to_string(), tagged: effect == "idempotency_key", cut_off })
     };
     let offerings: Vec<Offering> = classes.iter().enumerate().map(offering).collect::<Result<_>>()?;
     ensure!(!offerings.is_empty(), "{path}: empty");
@@ -124,6 +137,7 @@
         descriptors: bounds.number("sockets", [64, 1 << 20], Some(1024))? as usize,
         connect: micros("connect_timeout", 400_000)?,
         cache_idle: micros("conn_idle", 30_000_000)?,
+        cut_off: offerings.iter().map(|offering| offering.cut_off).max().unwrap_or_default(),
         open_views: allowed.number("open_cap", [1, 1 << 20], Some(1 << 12))?.min(1 << 12) as usize,
     };
     let known = top.at("known")?;
@@ -131,6 +145,9 @@
     let event = |(i, value): (usize, &Value)| {
         serde_json::from_value(value.clone()).with_context(|| format!("{path}[{i}]"))
     };
+    // The change log moves; where it stood at some start is of no more use than that start's seed.
+    let moves = ["changelog", "known", "seed"];
+    let fixed = value.as_object().into_iter().flatten().filter(|(key, _)| !moves.contains(&key.as_str()));
     Ok(Deployment {
         name: top.word("name")?.to_string(),
         listen: top.address("listen")?,
@@ -143,5 +160,6 @@
         locations,
         kinds: settings.words("flavors")?,
         limits: Limits::of(machine),
+        fixed: Fixed(fixed.map(|(key, value)| (key.clone(), value.clone())).collect()),
     })
 }
--- a/crates/router/src/desk.rs
+++ b/crates/router/src/desk.rs
@@ -18,7 +18,7 @@
     CallOff(u16),
     TurnBack(Option<Span>),
     WriteOff,
-    /// Nobody waits for the view any more; from its client, not from the module.
+    /// Nobody waits for the view any more, or the router ends; not from the module.
     Left,
 }
 
@@ -213,6 +213,12 @@
         (ViewNo(no), slot)
     }
 
+    /// The router ends: nothing more is done for any view.
+    pub fn leave_all(&self) {
+        let slots = self.control.borrow_mut().host().slots.iter().flatten().cloned().collect::<Vec<_>>();
+        slots.iter().for_each(|(slot, _)| slot.put(Order::Left));
+    }
+
     /// The view has its final answer and every dispatch of it was reported.
     pub fn close_view(&self, no: ViewNo) {
         self.open.set(self.open.get() - 1);
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -27,13 +27,15 @@
     pub gap: Option<u64>,
 }
 
-/// Follows the change log from `place` on, over one connection after another; never ends.
-pub async fn follow(router: Rc<Router>, address: SocketAddr, mut place: Place) {
+/// Follows the change log on from what is known, over one connection after another; never ends. May be dropped
+/// at any time, and another follow in its place.
+pub async fn follow(router: Rc<Router>, address: SocketAddr) -> Infallible {
     let ended = Seldom::default();
     loop {
-        let Err(what) = listen(&router, address, &mut place).await;
+        let Err(what) = listen(&router, address).await;
         if let Some(times) = ended.told() {
-            tracing::warn!(%what, seq = place.seq, times, "the change log's connection ended");
+            let seq = router.told.borrow().seq;
+            tracing::warn!(%what, seq, times, "the change log's connection ended");
         }
         let pause = router.limits.feed_pause;
         let jitter = Duration::from_secs_f64(pause.as_secs_f64() * fastrand::f64());
@@ -42,14 +44,15 @@
 }
 
 /// One connection to the change log, until it ends.
-async fn listen(router: &Router, address: SocketAddr, place: &mut Place) -> Result<Infallible> {
+async fn listen(router: &Router, address: SocketAddr) -> Result<Infallible> {
     let limits = &router.limits;
     let mut stream = within(limits.feed_connect, Async::<TcpStream>::connect(address)).await?;
-    stream.write_all(format!("since {}\n", place.seq).as_bytes()).await?;
-    place.unread = 0;
+    let since = format!("since {}\n", router.told.borrow().seq);
+    stream.write_all(since.as_bytes()).await?;
+    router.told.borrow_mut().unread = 0;
     let mut lines = pin!(lines(stream, *limits));
     while let Some(line) = lines.try_next().await? {
-        take(router, place, &line)?;
+        take(router, &mut router.told.borrow_mut(), &line)?;
     }
     bail!("closed by the other side")
 }
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -15,6 +15,8 @@
     pub connect: Duration,
     pub cache_idle: Duration,
     pub open_views: usize,
+    /// The longest cut-off of any offering.
+    pub cut_off: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,7 +57,8 @@
     pub cache_idle: Duration,
     /// How long an answer may wait for its client to take it, from when it was given.
     pub untaken: Duration,
-    /// How long the change log may say nothing.
+    /// How long the change log may say nothing: it beats each second, and a new connection, though the first
+    /// connect hangs, must be there within 4 s.
     pub feed_silence: Duration,
     /// How long its connection may take to come up.
     pub feed_connect: Duration,
@@ -63,6 +66,11 @@
     pub feed_pause: Duration,
     /// How long views may still come after SIGTERM.
     pub last_calls: Duration,
+    /// How long after SIGTERM what is open is answered at the latest: it may be killed from the longest cut-off
+    /// on, but 3 s at most, and 0.7 s more.
+    pub stop: Duration,
+    /// How long the last answers may take to be written then.
+    pub farewell: Duration,
     /// How long to wait before looking again whether a connection can be accepted, or the router can end.
     pub look_again: Duration,
     /// How often idle connections are looked through.
@@ -94,10 +102,12 @@
             connect: machine.connect,
             cache_idle: machine.cache_idle / 2,
             untaken: Duration::from_secs(5),
-            feed_silence: Duration::from_millis(2500),
+            feed_silence: Duration::from_millis(1800),
             feed_connect: Duration::from_secs(1),
             feed_pause: Duration::from_millis(100),
             last_calls: Duration::from_millis(800),
+            stop: machine.cut_off.min(Duration::from_secs(3)) + Duration::from_millis(500),
+            farewell: Duration::from_millis(100),
             look_again: Duration::from_millis(10),
             sweep: Duration::from_secs(1),
         }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,4 +1,4 @@
-//! tindoor on sockets: starts the router, and ends it when it is told to.
+//! tindoor on sockets: starts the router, and heeds signals: to read its configuration again, and to end.
 
 mod caches;
 mod clients;
@@ -8,20 +8,23 @@
 mod limits;
 mod view;
 
-use std::cell::Cell;
-use std::net::TcpListener;
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::ffi::OsString;
+use std::mem;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Instant;
 
 use anyhow::{Context, Result};
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 
 use caches::{Budget, Caches};
-use configuration::{Deployment, Offering};
+use configuration::{Deployment, Fixed, Offering};
 use desk::Decisions;
 use limits::{Limits, Seldom};
 
@@ -40,8 +43,10 @@
     /// Views that could not be taken, and calls that could not be read.
     no_room: Seldom,
     unreadable: Seldom,
-    /// SIGTERM came.
-    stopping: Cell<bool>,
+    /// How far the change log is known.
+    told: RefCell<feed::Place>,
+    /// By when all is to be answered, once SIGTERM came.
+    stopping: Cell<Option<Instant>>,
 }
 
 fn main() -> ExitCode {
@@ -60,13 +65,20 @@
 fn start() -> Result<()> {
     let path = std::env::args_os().nth(1).or_else(|| std::env::var_os("PROXY_CONFIG"));
     let path = path.context("no configuration: name its file as argument or in PROXY_CONFIG")?;
-    let text = std::fs::read(&path).with_context(|| format!("configuration {}", path.display()))?;
-    let deployment = configuration::read(&text).context("configuration")?;
+    let deployment = read(&path)?;
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(run(Rc::clone(&executor), deployment)))
+    async_io::block_on(executor.run(run(Rc::clone(&executor), path, deployment)))
 }
 
-async fn run(executor: Rc<LocalExecutor<'static>>, deployment: Deployment) -> Result<()> {
+fn read(path: &OsString) -> Result<Deployment> {
+    let text = std::fs::read(path).with_context(|| format!("configuration {}", path.display()))?;
+    configuration::read(&text).context("configuration")
+}
+
+async fn run(executor: Rc<LocalExecutor<'static>>, path: OsString, deployment: Deployment) -> Result<()> {
+    // Heeded from the first moment on: unheeded, each of them ends the process.
+    let hangups = Signals::new([Signal::Hup]).context("signals")?;
+    let mut ends = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
     let Deployment { name, listen, seed, limits, .. } = deployment;
     // For pauses between connections only; the module draws from a seed of its own.
     fastrand::seed(seed);
@@ -84,14 +96,15 @@
         unwritten: Rc::default(),
         no_room: Seldom::default(),
         unreadable: Seldom::default(),
-        stopping: Cell::new(false),
+        told: RefCell::new(feed::Place { seq: deployment.known_seq, unread: 0, gap: None }),
+        stopping: Cell::new(None),
     });
     deployment.known.into_iter().for_each(|event| feed::heed(&router, event));
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
     let listener = Async::<TcpListener>::bind(listen).with_context(|| format!("listen: {listen}"))?;
     let bound = listener.get_ref().local_addr().context("listen")?;
-    let place = feed::Place { seq: deployment.known_seq, unread: 0, gap: None };
-    executor.spawn(feed::follow(Rc::clone(&router), deployment.changelog, place)).detach();
+    let feed = executor.spawn(feed::follow(Rc::clone(&router), deployment.changelog));
+    let followed = (deployment.changelog, feed);
+    executor.spawn(reload(Rc::clone(&router), hangups, path, deployment.fixed, followed)).detach();
     executor.spawn(clients::accept(Rc::clone(&router), listener)).detach();
     let timed = Rc::clone(&router);
     executor.spawn(async move { timed.decisions.keep_time().await }).detach();
@@ -104,20 +117,53 @@
     };
     executor.spawn(sweep).detach();
     tracing::info!(name, %bound, "ready");
-    while signals.next().await.is_some_and(|signal| signal.is_err()) {}
+    while ends.next().await.is_some_and(|signal| signal.is_err()) {}
     stop(&router).await;
     Ok(())
 }
 
-/// Answers what still comes, and ends once nothing is open and no more can come.
+/// Reads the configuration again at each SIGHUP, also while the router stops. Only the change log moves; what
+/// can't be used changes nothing.
+async fn reload(
+    router: Rc<Router>,
+    mut hangups: Signals,
+    path: OsString,
+    fixed: Fixed,
+    (mut address, mut feed): (SocketAddr, Task<Infallible>),
+) {
+    while hangups.next().await.is_some() {
+        let deployment = match read(&path) {
+            Ok(deployment) => deployment,
+            Err(what) => {
+                tracing::error!("not reloaded, the old configuration stays: {what:#}");
+                continue;
+            }
+        };
+        for key in fixed.differ(&deployment.fixed) {
+            tracing::warn!(key, "changed in the configuration, and heeded only at the next start");
+        }
+        tracing::info!(changelog = %deployment.changelog, seq = router.told.borrow().seq, "reloaded");
+        if mem::replace(&mut address, deployment.changelog) != deployment.changelog {
+            // The old connection may live on and tell nothing more, or be a connect that hangs: it is dropped
+            // as it is. What is known stands in the router.
+            drop(mem::replace(&mut feed, router.executor.spawn(feed::follow(Rc::clone(&router), address))));
+        }
+    }
+}
+
+/// Answers what still comes, and ends once nothing is open and no more can come; but in time before it is killed.
 async fn stop(router: &Router) {
-    router.stopping.set(true);
     let told = Instant::now();
+    let end = told + router.limits.stop;
+    router.stopping.set(Some(end));
     tracing::info!(views = router.decisions.open_views(), "stopping");
-    while told.elapsed() < router.limits.last_calls
-        || router.decisions.open_views() > 0
-        || router.unwritten.get() > 0
-    {
+    let busy = || router.decisions.open_views() > 0 || router.unwritten.get() > 0;
+    while told.elapsed() < router.limits.last_calls || busy() && Instant::now() < end {
+        Timer::after(router.limits.look_again).await;
+    }
+    // Whoever waits longer than that is told so: a connection that just ends would lose the view.
+    router.decisions.leave_all();
+    while busy() && end.elapsed() < router.limits.farewell {
         Timer::after(router.limits.look_again).await;
     }
     tracing::info!("stopped");
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -57,7 +57,10 @@
         }
     };
     let gone = Span::micros(call.arrived.elapsed().as_micros() as u64);
-    let left = wanted.patience - gone;
+    // What comes while the router stops is given up in time before it ends.
+    let stop = router.stopping.get().map(|end| end.saturating_duration_since(Instant::now()));
+    let stop = stop.map_or(wanted.patience, |stop| Span::micros(stop.as_micros() as u64));
+    let left = (wanted.patience - gone).min(stop);
     router.decisions.tell(|control| control.view(no, wanted.asked, left));
 
     // One dispatch is out at a time; its end is told even where the answer is long given.
@@ -99,6 +102,8 @@
                 answered = true;
             }
             Happened::Order(Order::Left) => {
+                // Only where the router ends is there somebody to tell.
+                client.answer(seq, &slot, aborted(seq, &[]), None);
                 router.decisions.tell(|control| control.left(no));
                 if let Some((dispatch, _)) = out.take() {
                     tell_end(&router, no, &dispatch, (Verdict::CalledOff, Note::Untold), true);
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -315,8 +315,20 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration and tells the router so.
+    pub fn reload(&self, text: &str) {
+        let new = self.file.with_extension("new");
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(new, &self.file).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
 
     pub fn wait(&mut self) -> ExitStatus {
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -440,6 +440,62 @@
     assert_eq!(client.next(), None);
 }
 
+#[test]
+fn a_new_configuration_moves_the_change_log_which_goes_on_from_our_number() {
+    let stuck = Stuck::new();
+    let mut world = world(|_| Deed::Hang);
+    let mut client = Client::connect(&world.router);
+    world.log.asks(1);
+    let (next, members) = (ChangeLog::start(), vec![member("c-9", world.cache.address, "cache", "active")]);
+    let file = |log: SocketAddr| configuration(log, members.clone());
+    world.router.reload("{ no");
+    world.heeds("not JSON");
+    let mut bad = file(next.address);
+    bad["changelog"] = json!("nowhere");
+    world.router.reload(&bad.to_string());
+    world.heeds("changelog: \"nowhere\" is no address");
+    // The connect to this one hangs for longer than the news may take.
+    world.router.reload(&file(stuck.address).to_string());
+    world.heeds("reloaded");
+    let mut moved = file(next.address);
+    moved["limits"]["sockets"] = json!(500);
+    world.router.reload(&moved.to_string());
+    assert_eq!(next.asks(1), [1]);
+    world.heeds("key=\"limits\"");
+    next.say(&fleet(2, vec![member("c-1", world.cache.address, "cache", "left")]));
+    world.heeds("seq: 2");
+    // Also while it stops, which a view of the longest cut-off holds up.
+    client.ask(1, OBJECT);
+    assert!(client.healthy(2));
+    world.router.terminate();
+    world.heeds("stopping");
+    let last = ChangeLog::start();
+    world.router.reload(&file(last.address).to_string());
+    assert!(world.router.wait().success());
+}
+
+#[test]
+fn what_is_open_when_the_router_must_end_gets_its_answer_before() {
+    let mut world = world_with(
+        |_| Deed::Hang,
+        |configuration| {
+            for class in configuration["settings"]["request_classes"].as_array_mut().unwrap() {
+                class["deadline"] = json!(700_000);
+            }
+        },
+    );
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    world.cache.requests(1);
+    world.router.terminate();
+    world.heeds("stopping");
+    client.ask(2, OBJECT);
+    // Both would wait for ten minutes, and it may be killed after 1.4 s.
+    let over = [client.reply(), client.reply()];
+    assert!(over.iter().all(|(_, reply)| is_over(reply)), "{over:?}");
+    assert!(world.router.wait().success());
+}
+
 #[test]
 fn what_can_be_read_gets_an_answer_and_nothing_else_costs_other_connections() {
     let world = world(|seen| if seen.line.contains(OBJECT) { Deed::Hang } else { Deed::Say(served(b"x")) });
