Withdrawn views leave nothing out behind; clients read strictly, silent ones closed

Cause: view.rs took Left first and dropped the Dispatch that stood behind it in the slot, so the module counted it as out for ever: its cache and the way of fills looked full.

Now: a view withdrawn before it began never comes to the module, and every order that is left in the slot is told of. Fields are checked for form and range, each name once, nothing behind a call, an id names one view at a time. A first frame and a half frame have 2 s. Accepting no longer waits 10 ms for each connection: those that never asked make room first. A reader yields after each read, a resting connection holds no buffer, and what was answered before an unreadable frame arrives, as the connection is drained for 0.2 s before its close.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -2,8 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::io::{self, IoSlice};
-use std::net::{TcpListener, TcpStream};
+use std::io::{self, IoSlice, Read};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::task::{Poll, Waker};
@@ -35,6 +35,10 @@
     replies: RefCell<VecDeque<Given>>,
     writer: Cell<Option<Waker>>,
     closing: Cell<bool>,
+    /// Nothing more is read: what is to be written still are the last answers.
+    parting: Cell<bool>,
+    /// It has sent a whole frame.
+    asked: Cell<bool>,
     used: Cell<Instant>,
     /// Answers of all connections that are not yet written.
     unwritten: Rc<Cell<usize>>,
@@ -47,6 +51,8 @@
             replies: RefCell::default(),
             writer: Cell::default(),
             closing: Cell::new(false),
+            parting: Cell::new(false),
+            asked: Cell::new(false),
             used: Cell::new(Instant::now()),
             unwritten,
         }
@@ -94,6 +100,7 @@
             let next = self.replies.borrow_mut().pop_front();
             match next {
                 Some(reply) => Poll::Ready(Some(reply)),
+                None if self.parting.get() => Poll::Ready(None),
                 None => {
                     self.writer.set(Some(context.waker().clone()));
                     Poll::Pending
@@ -108,36 +115,42 @@
 pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>) {
     let mut clients: Vec<Weak<Client>> = Vec::new();
     loop {
-        clients.retain(|client| client.strong_count() > 0);
-        let room = clients.len() < router.limits.client_connections;
-        let accepted = if room { Some(listener.accept().await) } else { None };
-        match accepted {
-            Some(Ok((stream, _))) => {
+        // Hundreds that connect at once must not keep the connections there are from being served.
+        future::yield_now().await;
+        clients.retain(|client| client.upgrade().is_some_and(|client| !client.closing.get()));
+        if clients.len() >= router.limits.client_connections && !make_room(&clients) {
+            Timer::after(router.limits.look_again).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
                 let _ = stream.get_ref().set_nodelay(true);
                 // What the system buffers for a client that reads slowly counts as memory, too.
                 let _ = SockRef::from(stream.get_ref()).set_send_buffer_size(router.limits.send_buffer);
                 let client = Rc::new(Client::new(Rc::clone(&router.unwritten)));
                 clients.push(Rc::downgrade(&client));
                 router.executor.spawn(converse(Rc::clone(&router), client, stream)).detach();
-                continue;
             }
-            Some(Err(error)) => {
+            Err(error) => {
                 if let Some(times) = router.no_room.told() {
                     tracing::warn!(%error, times, "can't accept; closing idle connections");
                 }
                 router.caches.sweep();
+                make_room(&clients);
+                Timer::after(router.limits.look_again).await;
             }
-            None => {}
         }
-        // The longest idle one makes room; while none is, new ones wait to be accepted.
-        let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
-        if let Some(oldest) = idle.min_by_key(|client| client.used.get()) {
-            oldest.close();
-        }
-        Timer::after(router.limits.look_again).await;
     }
 }
 
+/// Closes a connection on which nothing is open; none may be. Those that never asked go first, so that hundreds of
+/// silent ones take no place from clients that ask; then the one idle for longest.
+fn make_room(clients: &[Weak<Client>]) -> bool {
+    let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
+    let first = idle.min_by_key(|client| (client.asked.get(), client.used.get()));
+    first.inspect(|client| client.close()).is_some()
+}
+
 /// One connection until either side closes it; what is still open then has nobody waiting.
 async fn converse(router: Rc<Router>, client: Rc<Client>, stream: Async<TcpStream>) {
     let ended = future::or(read(&router, &client, &stream), write(&router, &client, &stream)).await;
@@ -146,6 +159,7 @@
             if let Some(times) = router.unreadable.told() {
                 tracing::warn!(%what, times, "a client's connection is closed: it can't be read");
             }
+            let _ = within(router.limits.farewell, part(&router, &client, &stream)).await;
         }
         Err(what) => tracing::debug!(%what, "a connection of a client ended"),
         Ok(()) => {}
@@ -158,10 +172,25 @@
     }
 }
 
+/// Has the last answers and the close reach a client that may still be sending: a close with bytes unread resets the
+/// connection, which destroys what the client has not read. What comes meanwhile is read and dropped.
+async fn part(router: &Router, client: &Client, stream: &Async<TcpStream>) -> io::Result<()> {
+    client.parting.set(true);
+    write(router, client, stream).await?;
+    stream.get_ref().shutdown(Shutdown::Write)?;
+    let mut dropped = vec![0; router.limits.read];
+    let mut reader = stream;
+    while reader.read(&mut dropped).await? > 0 {
+        future::yield_now().await;
+    }
+    Ok(())
+}
+
 async fn read(router: &Rc<Router>, client: &Rc<Client>, stream: &Async<TcpStream>) -> io::Result<()> {
     let mut frames = pin!(frames(stream, router.limits));
     while let Some((frame, arrived)) = frames.try_next().await? {
         client.used.set(arrived);
+        client.asked.set(true);
         take(router, client, frame, arrived)?;
         // Refusals and `health` stand for no memory in the budget: one that asks and never reads is not heard.
         while client.replies.borrow().len() >= router.limits.replies {
@@ -176,25 +205,51 @@
     stream: &Async<TcpStream>,
     limits: Limits,
 ) -> impl Stream<Item = io::Result<(Bytes, Instant)>> + use<'_> {
-    stream::try_unfold((BytesMut::new(), Instant::now()), move |(mut read, mut arrived)| async move {
-        let mut stream = stream;
+    // A connection that never asked, and one with half a frame, has so long from then on; others may rest.
+    let first = (BytesMut::new(), Instant::now(), Some(Instant::now()));
+    stream::try_unfold(first, move |(mut read, mut arrived, mut begun)| async move {
         loop {
             let frame = tindoor_thrift::take_frame(&mut read, limits.frame).map_err(unreadable)?;
             if let Some(frame) = frame {
-                return Ok(Some(((frame, arrived), (read, arrived))));
+                let begun = Some(arrived).filter(|_| !read.is_empty());
+                return Ok(Some(((frame, arrived), (read, arrived, begun))));
             }
+            // One that sends at full speed gets its turn as the others do.
+            future::yield_now().await;
             let filled = read.len();
             read.resize(filled + limits.read, 0);
-            let more = stream.read(&mut read[filled..]).await?;
+            let more = match (&mut stream.get_ref()).read(&mut read[filled..]) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    read.truncate(filled);
+                    if read.is_empty() {
+                        // One that rests holds no memory.
+                        read = BytesMut::new();
+                    }
+                    match begun {
+                        Some(begun) => {
+                            let left = limits.frame_wait.saturating_sub(begun.elapsed());
+                            within(left, stream.readable()).await.map_err(|_| silent())?;
+                        }
+                        None => stream.readable().await?,
+                    }
+                    continue;
+                }
+                more => more?,
+            };
             read.truncate(filled + more);
             if more == 0 {
                 return Ok(None);
             }
             arrived = Instant::now();
+            begun = begun.or(Some(arrived));
         }
     })
 }
 
+fn silent() -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, "no whole frame came in time")
+}
+
 fn unreadable(fault: Fault) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"))
 }
--- a/crates/router/src/desk.rs
+++ b/crates/router/src/desk.rs
@@ -1,7 +1,7 @@
 //! The module's [`Host`]: puts each order into the slot of its view and wakes the view's task.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant, SystemTime};
@@ -48,6 +48,10 @@
         }
     }
 
+    pub fn has_orders(&self) -> bool {
+        !self.orders.borrow().is_empty()
+    }
+
     pub async fn next(&self) -> Order {
         future::poll_fn(|context| match self.orders.borrow_mut().pop_front() {
             Some(order) => Poll::Ready(order),
@@ -60,6 +64,26 @@
     }
 }
 
+/// The ids of the views in hand.
+#[derive(Default)]
+pub struct Ids(Rc<RefCell<HashSet<u64>>>);
+
+/// One of them, given back with its view.
+pub struct Id(Rc<RefCell<HashSet<u64>>>, u64);
+
+impl Ids {
+    /// None where a view of that id is in hand.
+    pub fn take(&self, id: u64) -> Option<Id> {
+        self.0.borrow_mut().insert(id).then(|| Id(Rc::clone(&self.0), id))
+    }
+}
+
+impl Drop for Id {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
+}
+
 /// One monotonic clock, set against the Unix clock once at the start.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -124,6 +148,7 @@
         let Some(Some((_, sent))) = self.slots.get_mut(view.0 as usize) else { return };
         let nth = *sent;
         *sent += 1;
+        tracing::debug!(view = view.0, nth, cache = cache.0, "ordered");
         let wait = Duration::from_micros(wait.as_micros());
         self.put(view, Order::Dispatch(Dispatch { nth, cache, wait, terms, ordered: Instant::now() }));
     }
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -39,6 +39,8 @@
     pub small_frame: usize,
     /// The longest text of a field.
     pub text: usize,
+    /// The longest body of a write.
+    pub write: usize,
     /// The longest body of an object.
     pub body: usize,
     /// The longest head of a cache's answer.
@@ -55,6 +57,8 @@
     pub connect: Duration,
     /// How long a connection to a cache may lie idle; well before the cache closes it.
     pub cache_idle: Duration,
+    /// How long a client may take to its first frame, and from the first byte of a frame to its last.
+    pub frame_wait: Duration,
     /// How long an answer may wait for its client to take it, from when it was given.
     pub untaken: Duration,
     /// How long the change log may say nothing: it beats each second, and a new connection, though the first
@@ -69,7 +73,7 @@
     /// How long after SIGTERM what is open is answered at the latest: it may be killed from the longest cut-off
     /// on, but 3 s at most, and 0.7 s more.
     pub stop: Duration,
-    /// How long the last answers may take to be written then.
+    /// How long the last answers may take to be written, at the end and on a connection that can't be read.
     pub farewell: Duration,
     /// How long to wait before looking again whether a connection can be accepted, or the router can end.
     pub look_again: Duration,
@@ -93,6 +97,7 @@
             frame: 64 << 10,
             small_frame: 4 << 10,
             text: 128,
+            write: 48_000,
             body: 240_000,
             head: 8 << 10,
             first_read: 2 << 10,
@@ -101,13 +106,14 @@
             read: 16 << 10,
             connect: machine.connect,
             cache_idle: machine.cache_idle / 2,
+            frame_wait: Duration::from_secs(2),
             untaken: Duration::from_secs(5),
             feed_silence: Duration::from_millis(1800),
             feed_connect: Duration::from_secs(1),
             feed_pause: Duration::from_millis(100),
             last_calls: Duration::from_millis(800),
             stop: machine.cut_off.min(Duration::from_secs(3)) + Duration::from_millis(500),
-            farewell: Duration::from_millis(100),
+            farewell: Duration::from_millis(200),
             look_again: Duration::from_millis(10),
             sweep: Duration::from_secs(1),
         }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -25,7 +25,7 @@
 
 use caches::{Budget, Caches};
 use configuration::{Deployment, Fixed, Offering};
-use desk::Decisions;
+use desk::{Decisions, Ids};
 use limits::{Limits, Seldom};
 
 /// What every task of the router shares.
@@ -36,6 +36,7 @@
     locations: Vec<String>,
     kinds: Vec<String>,
     decisions: Decisions,
+    ids: Ids,
     caches: Caches,
     budget: Rc<Budget>,
     /// Answers that wait to be written.
@@ -91,6 +92,7 @@
         locations: deployment.locations,
         kinds: deployment.kinds,
         decisions,
+        ids: Ids::default(),
         caches: Caches::new(limits),
         budget: Budget::new(limits.buffered),
         unwritten: Rc::default(),
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -30,6 +30,7 @@
 
 /// What the call asks for, checked; the texts go on to caches unchanged.
 struct Wanted<'a> {
+    id: u64,
     asked: Asked,
     patience: Span,
     ask: Ask<'a>,
@@ -56,6 +57,15 @@
             return router.decisions.close_view(no);
         }
     };
+    // Hundreds may be withdrawn in the same breath in which they are sent: those never come to the module. And an id
+    // names one view at a time: caches tell views apart by it.
+    if slot.has_orders() {
+        return router.decisions.close_view(no);
+    }
+    let Some(_id) = router.ids.take(wanted.id) else {
+        client.answer(seq, &slot, aborted(seq, &[("reason", "trace")]), None);
+        return router.decisions.close_view(no);
+    };
     let gone = Span::micros(call.arrived.elapsed().as_micros() as u64);
     // What comes while the router stops is given up in time before it ends.
     let stop = router.stopping.get().map(|end| end.saturating_duration_since(Instant::now()));
@@ -66,7 +76,7 @@
     // One dispatch is out at a time; its end is told even where the answer is long given.
     let mut out: Option<(Dispatch, Exchange)> = None;
     let mut answered = false;
-    while !answered || out.is_some() {
+    while !answered || out.is_some() || slot.has_orders() {
         let order = async { Happened::Order(slot.next().await) };
         let end = async {
             match &mut out {
@@ -79,11 +89,13 @@
         };
         let happened = future::or(order, end).await;
         match happened {
-            Happened::Order(Order::Dispatch(dispatch)) if out.is_none() => {
+            Happened::Order(Order::Dispatch(dispatch)) if out.is_none() && !answered => {
                 out = Some((dispatch, Box::pin(exchange(&router, &call, &wanted, dispatch))));
             }
-            Happened::Order(Order::Dispatch(second)) => {
-                tell_end(&router, no, &second, (Verdict::Moot, Note::Untold), answered);
+            // Each that was ordered is told of, also where the client left before it began: else the module counts
+            // it as out for ever, and takes its cache and the way of its fills for full.
+            Happened::Order(Order::Dispatch(vain)) => {
+                tell_end(&router, no, &vain, (Verdict::Moot, Note::Untold), answered);
             }
             Happened::Order(Order::CallOff(nth)) => {
                 // Dropping the exchange closes its connection, which gives the request up.
@@ -127,7 +139,7 @@
 
 fn tell_end(router: &Router, no: ViewNo, dispatch: &Dispatch, end: (Verdict, Note), last: bool) {
     let took = Span::micros(dispatch.ordered.elapsed().as_micros() as u64);
-    tracing::debug!(view = no.0, nth = dispatch.nth, cache = dispatch.cache.0, ?end, ?took, last);
+    tracing::debug!(view = no.0, nth = dispatch.nth, cache = dispatch.cache.0, ?end, ?took, last, "ended");
     router.decisions.tell(|control| control.answered(no, dispatch.nth, end, took, last));
 }
 
@@ -178,37 +190,57 @@
         call.fields.get(name).map(|value| plain(value, router.limits.text).ok_or(name)).transpose()
     };
     let needed = |name: &'static str| text(name)?.ok_or(name);
-    let number = |name: &'static str| needed(name)?.parse::<u32>().map_err(|_| name);
+    // Digits alone, as a parser would let a sign pass, and none before them that mean nothing.
+    let number = |name: &'static str| {
+        let text = needed(name)?;
+        let plain = text.bytes().all(|byte| byte.is_ascii_digit()) && (text == "0" || !text.starts_with('0'));
+        text.parse::<u32>().ok().filter(|_| plain).ok_or(name)
+    };
     let hex = |name: &'static str| {
         let text = needed(name)?;
         tindoor_changelog::object_number(text.as_bytes()).map(|number| (text, number)).ok_or(name)
     };
+    let digits = |text: &str, count| text.len() == count && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     let route = needed("route")?;
     let offering = router.offerings.iter().position(|offering| offering.name == route).ok_or("route")?;
     let nonce = text("nonce")?;
-    if router.offerings[offering].tagged && nonce.is_none() {
+    if nonce.map_or(router.offerings[offering].tagged, |nonce| !digits(nonce, 32)) {
         return Err("nonce");
     }
+    let client_tag = text("known")?;
+    if client_tag.is_some_and(|tag| !digits(tag, 16)) {
+        return Err("known");
+    }
+    let repeat = text("redo")?;
+    if repeat.is_some_and(|repeat| repeat != "1") {
+        return Err("redo");
+    }
+    let patience = number("patience").ok().filter(|patience| *patience > 0).ok_or("patience")?;
+    let group = number("tag").ok().filter(|group| *group <= 255).ok_or("tag")?;
+    if call.body.len() > router.limits.write {
+        return Err("body");
+    }
     let (object_text, object) = hex("entity")?;
+    let (ticket, id) = hex("trace")?;
     let asked = Asked {
         object,
         part: number("chunk")?,
-        group: number("tag")?,
+        group,
         offering: offering as u16,
         kb: None,
-        repeat: text("redo")? == Some("1"),
+        repeat: repeat.is_some(),
     };
     let ask = Ask {
         offering: route,
         object: object_text,
         part: needed("chunk")?,
-        ticket: hex("trace")?.0,
+        ticket,
         nonce,
-        client_tag: text("known")?,
+        client_tag,
         body: call.body.len(),
         ..Ask::default()
     };
-    Ok(Wanted { asked, patience: Span::millis(number("patience")?.into()), ask })
+    Ok(Wanted { id, asked, patience: Span::millis(patience.into()), ask })
 }
 
 /// Text that can stand in a header or a path as it is.
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/router/tests/stand_in/mod.rs
@@ -387,13 +387,18 @@
     [&(message.len() as u32).to_be_bytes()[..], &message].concat()
 }
 
+/// Stands for an id that no other call has.
+pub const FRESH: &str = "fresh";
+
 /// The frame of a call with these fields.
 pub fn call(seq: i32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut out = vec![13, 0, 1, 11, 11];
     out.extend((fields.len() as u32).to_be_bytes());
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let fresh = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
     for (name, value) in fields {
         text(&mut out, name.as_bytes());
-        text(&mut out, value.as_bytes());
+        text(&mut out, if *value == FRESH { &fresh } else { *value }.as_bytes());
     }
     out.extend([11, 0, 2]);
     text(&mut out, body);
@@ -401,9 +406,17 @@
     frame(1, "call", seq, &out)
 }
 
+/// The frame that withdraws a call.
+pub fn cancel(seq: i32) -> Vec<u8> {
+    let mut arguments = vec![8, 0, 1];
+    arguments.extend(seq.to_be_bytes());
+    arguments.push(0);
+    frame(4, "cancel", 0, &arguments)
+}
+
 /// The fields of a plain view of an object.
 pub fn page<'a>(object: &'a str, patience: &'a str) -> Vec<(&'a str, &'a str)> {
-    let route = [("route", "pages"), ("trace", "9b1f03aa5c7e2d41"), ("patience", patience)];
+    let route = [("route", "pages"), ("trace", FRESH), ("patience", patience)];
     [&route[..], &[("entity", object), ("chunk", "3"), ("tag", "17")]].concat()
 }
 
@@ -426,10 +439,7 @@
     }
 
     pub fn cancel(&mut self, seq: i32) {
-        let mut arguments = vec![8, 0, 1];
-        arguments.extend(seq.to_be_bytes());
-        arguments.push(0);
-        self.send(&frame(4, "cancel", 0, &arguments));
+        self.send(&cancel(seq));
     }
 
     pub fn healthy(&mut self, seq: i32) -> bool {
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -61,7 +61,8 @@
     let world = world(move |_| Deed::Say(bytes.clone()));
     let mut client = Client::connect(&world.router);
     assert!(client.healthy(1));
-    let fields = [page(OBJECT, "3000"), vec![("known", "00aa")]].concat();
+    let mut fields = [page(OBJECT, "3000"), vec![("known", "4be0c1927d55a6f3")]].concat();
+    fields[1].1 = "9b1f03aa5c7e2d41";
     client.send(&call(2, &fields, b""));
     assert_eq!(client.reply(), (2, done(&body)));
     let seen = &world.cache.requests(1)[0];
@@ -70,7 +71,7 @@
     assert_eq!(header("x-ticket"), Some("9b1f03aa5c7e2d41"));
     assert_eq!(header("x-source"), Some("p-1"));
     assert_eq!(header("x-mode"), Some("j+r"));
-    assert_eq!(header("x-client-tag"), Some("00aa"));
+    assert_eq!(header("x-client-tag"), Some("4be0c1927d55a6f3"));
     let wait: u64 = header("x-max-ms").unwrap().parse().unwrap();
     assert!((1..3000).contains(&wait), "{wait}");
 }
@@ -82,13 +83,16 @@
     client.ask(1, OBJECT);
     let fields = [("valid".to_string(), "1".to_string())].into();
     assert_eq!(client.reply(), (1, Reply::Served { body: Vec::new(), fields, good: true }));
-    let fields = [("route", "saves"), ("nonce", "n-1")];
+    let fields = [("route", "saves"), ("nonce", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")];
     let fields: Vec<_> = fields.into_iter().chain(page(OBJECT, "3000").into_iter().skip(1)).collect();
     let written = vec![7; 48_000];
     client.send(&call(2, &fields, &written));
     assert_eq!(client.reply(), (2, done(b"saved")));
     let seen = &world.origin.requests(1)[0];
-    assert_eq!((&seen.body, seen.headers["x-nonce"].as_str()), (&written, "n-1"));
+    assert_eq!(
+        (&seen.body, seen.headers["x-nonce"].as_str()),
+        (&written, "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")
+    );
 }
 
 #[test]
@@ -505,14 +509,30 @@
     let mut client = Client::connect(&world.router);
     client.send(&frame(1, "nonesuch", 4, &[0]));
     assert_eq!(client.reply(), (4, Reply::Exception));
-    for (broken, field) in
-        [(0, "route"), (1, "trace"), (2, "patience"), (3, "entity"), (4, "chunk"), (5, "tag")]
-    {
-        let mut fields = page(OBJECT, "3000");
-        fields[broken].1 = "b d";
-        client.send(&call(5, &fields, b""));
-        assert_eq!(client.reply(), (5, Reply::WrittenOff([("reason".into(), field.into())].into())));
+    let reason = |text: &str| (5, Reply::WrittenOff([("reason".into(), text.into())].into()));
+    for (field, values) in [
+        ("route", &["pages2", "b d", ""][..]),
+        ("trace", &["9b1f03aa5c7e2d4", "9b1f03aa5c7e2d41a", "+b1f03aa5c7e2d41"]),
+        ("patience", &["0", "-5", "+5", "99999999999999999999", "soon", "1e3", ""]),
+        ("entity", &["7f3a9c21e0b4d65g", "7f3a"]),
+        ("chunk", &["-1", "+1", "01", "nan", "4294967296"]),
+        ("tag", &["256", "-1", "x"]),
+        ("redo", &["0", "yes"]),
+        ("nonce", &["n-1"]),
+        ("known", &["4be0", "4be0c1927d55a6f3\r\nX-Mode: n"]),
+    ] {
+        for value in values {
+            let fields = page(OBJECT, "3000").into_iter().filter(|known| known.0 != field);
+            let fields: Vec<_> = fields.chain([(field, *value)]).collect();
+            client.send(&call(5, &fields, b""));
+            assert_eq!(client.reply(), reason(field), "{value:?}");
+        }
     }
+    let twice = [page(OBJECT, "3000"), page(OBJECT, "3000")].concat();
+    client.send(&call(5, &twice, b""));
+    assert_eq!(client.reply(), reason("too many fields, or one twice"));
+    client.send(&call(5, &page("00000000000000aa", "3000"), &vec![7; 48_001]));
+    assert_eq!(client.reply(), reason("body"));
     let nested: Vec<u8> = [12, 0, 9].repeat(10_000);
     client.send(&frame(1, "call", 6, &nested));
     assert!(matches!(client.reply(), (6, Reply::WrittenOff(_))));
@@ -528,6 +548,85 @@
     assert_eq!(other.reply(), (2, done(b"x")));
 }
 
+#[test]
+fn views_withdrawn_in_the_breath_they_are_sent_in_leave_nothing_out_behind() {
+    let world = world(|seen| if seen.line.contains(OBJECT) { Deed::Hang } else { Deed::Say(served(b"x")) });
+    let mut client = Client::connect(&world.router);
+    for seq in 1..=300 {
+        client.ask(seq, OBJECT);
+        // Some are withdrawn in a breath of their own, whenever the router comes to it.
+        client.cancel(seq);
+        if seq % 30 == 0 {
+            let both: Vec<u8> =
+                (1..=9).flat_map(|nth| call(1000 + nth, &page(OBJECT, "3000"), b"")).collect();
+            let ends: Vec<u8> = (1..=9).flat_map(|nth| cancel(1000 + nth)).collect();
+            client.send(&[both, ends].concat());
+        }
+    }
+    client.ask(2000, "00000000000000aa");
+    assert_eq!(client.reply(), (2000, done(b"x")));
+    // What was ordered has ended: the module counts nothing as out.
+    let count = |log: &mut Vec<String>, word: &str| log.iter().filter(|line| line.contains(word)).count();
+    world.router.log.wait("all that was ordered to end", |log| {
+        let ordered = count(log, " ordered ");
+        (ordered > 0 && ordered == count(log, " ended ")).then_some(())
+    });
+}
+
+#[test]
+fn an_id_names_one_view_at_a_time_whoever_sends_it() {
+    let gate = Watched::default();
+    let held = gate.clone();
+    let world = world(move |_| Deed::Once(held.clone(), served(b"x")));
+    let (mut client, mut other) = (Client::connect(&world.router), Client::connect(&world.router));
+    let named = |seq, object| {
+        let mut fields = page(object, "600000");
+        fields[1].1 = "9b1f03aa5c7e2d41";
+        call(seq, &fields, b"")
+    };
+    client.send(&named(1, OBJECT));
+    world.cache.requests(1);
+    other.send(&named(1, "00000000000000aa"));
+    assert_eq!(other.reply(), (1, Reply::WrittenOff([("reason".into(), "trace".into())].into())));
+    gate.let_go();
+    assert_eq!(client.reply(), (1, done(b"x")));
+    until("the id to be free again", || {
+        other.send(&named(2, "00000000000000aa"));
+        other.reply() == (2, done(b"x"))
+    });
+}
+
+#[test]
+fn the_silent_and_half_frames_are_closed_and_one_that_asked_may_rest() {
+    let world = world_with(
+        |_| Deed::Say(served(b"x")),
+        |configuration| configuration["limits"]["sockets"] = json!(100),
+    );
+    let mut client = Client::connect(&world.router);
+    assert!(client.healthy(1));
+    // Far more than there is room for: the silent ones make it for each other, and for one that asks.
+    let mut silent: Vec<_> = (0..200).map(|_| Client::connect(&world.router)).collect();
+    let mut late = Client::connect(&world.router);
+    late.ask(1, OBJECT);
+    assert_eq!(late.reply(), (1, done(b"x")));
+    late.send(&call(2, &page(OBJECT, "3000"), b"")[..30]);
+    silent.iter_mut().for_each(|client| assert_eq!(client.next(), None));
+    assert_eq!(late.next(), None);
+    assert!(client.healthy(2));
+}
+
+#[test]
+fn the_answers_before_what_cannot_be_read_arrive_though_the_client_sends_on() {
+    let world = world(|_| Deed::Say(served(b"x")));
+    let mut client = Client::connect(&world.router);
+    client
+        .send(&[frame(1, "nonesuch", 1, &[0]), frame(1, "nonesuch", 2, &[0]), vec![0xff; 600_000]].concat());
+    assert_eq!(client.reply(), (1, Reply::Exception));
+    assert_eq!(client.reply(), (2, Reply::Exception));
+    // An orderly end, no reset.
+    assert_eq!(client.0.read(&mut [0]).unwrap(), 0);
+}
+
 #[test]
 fn descriptors_stay_within_their_limit_while_caches_hang() {
     burst_within_descriptors(None);
--- a/crates/thrift/src/lib.rs
+++ b/crates/thrift/src/lib.rs
@@ -21,6 +21,9 @@
 /// How deep structs and collections may nest in what is skipped.
 const DEEPEST: u32 = 16;
 
+/// How many fields a call may have; far more than there are.
+const MOST_FIELDS: usize = 64;
+
 /// One message of a client.
 #[derive(Debug, PartialEq)]
 pub enum Message {
@@ -78,6 +81,10 @@
     match (&name[..], head as u8) {
         (b"call", CALL) => {
             let (fields, body) = rest.call().map_err(bad)?;
+            // A length that is wrong may leave a part of the message behind its end.
+            if !rest.0.is_empty() {
+                return Err(bad("bytes behind the call"));
+            }
             Ok(Message::Call { seq, fields, body })
         }
         // Owes no answer, so what can't be read is as good as unknown.
@@ -130,15 +137,16 @@
     }
 
     fn call(&mut self) -> Read<(Fields, Bytes)> {
-        let (mut fields, mut body) = (Fields::default(), Bytes::new());
+        let (mut fields, mut body) = (None, None);
         while let Some(field) = self.field()? {
             match field {
-                (MAP, 1) => fields = self.fields()?,
-                (STRING, 2) => body = self.string()?,
+                (MAP, 1) if fields.is_none() => fields = Some(self.fields()?),
+                (STRING, 2) if body.is_none() => body = Some(self.string()?),
+                (_, 1 | 2) => return Err("an argument twice, or of another type"),
                 (kind, _) => self.skip(kind, 0)?,
             }
         }
-        Ok((fields, body))
+        Ok((fields.unwrap_or_default(), body.unwrap_or_default()))
     }
 
     fn fields(&mut self) -> Read<Fields> {
@@ -147,9 +155,14 @@
             return Err("fields are not a map of strings");
         }
         // Grown by what is there, never by the count that is claimed.
-        let mut fields = Vec::new();
+        let mut fields: Vec<(Bytes, Bytes)> = Vec::new();
         for _ in 0..count {
-            fields.push((self.string()?, self.string()?));
+            let field = (self.string()?, self.string()?);
+            // Each name once: which one of two is meant can't be told.
+            if fields.len() == MOST_FIELDS || fields.iter().any(|known| known.0 == field.0) {
+                return Err("too many fields, or one twice");
+            }
+            fields.push(field);
         }
         Ok(Fields(fields))
     }
