Good answers kept for what follows them; numbers of gone caches used again; blame for errors

Bad clients: an error that nobody tells anything of counts against a cache once another dispatch of the same view is done, and a view is given up after four of them. A turn-back at the door tells when to come back.

Bad peers: http::head took a 1xx for the answer and caches called bytes behind an answer broken: both threw good answers away. Now 1xx are passed over within the room for one head; what follows costs the connection alone, and one is used again only after 2 ms. A request of which a part never left has not run: Unreachable.

A number is used again once its cache has been gone for three warm-ups and no view in hand names it; the module takes another stable id for a new member. A client's wait is kept in mind for a minute or the longest cut-off at most.

A connection whose last answer was being written passed for idle, and a call read in the poll that ends a connection was taken: both are shut. Ruled out: limits and time-outs, which log.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -72,6 +72,13 @@
     pub closes: bool,
 }
 
+impl Head {
+    /// One of those that may come before the answer itself, any number of them.
+    pub fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
     #[error("the head is over the limit")]
@@ -128,8 +135,8 @@
             head.closes = value.eq_ignore_ascii_case("close");
         }
     }
-    // These two never have a body, whatever the length says.
-    if !matches!(status, 204 | 304) {
+    // These never have a body, whatever the length says.
+    if !head.is_interim() && !matches!(status, 204 | 304) {
         head.length = length.ok_or(Fault::Length)?;
     }
     if head.length > longest_body { Err(Fault::LongBody) } else { Ok(Some(head)) }
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use async_io::Async;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use tindoor::host::{CacheNo, Note, Standing, Verdict};
 
@@ -42,12 +42,22 @@
     id: String,
     address: Option<SocketAddr>,
     standing: Standing,
+    /// When its line last changed.
+    since: Instant,
     /// Changes with every change of the cache's line: what was ordered before is no longer sure.
     life: u64,
     idle: Vec<(Link, Instant)>,
 }
 
-/// Every cache that was ever listed, by its number.
+impl Cache {
+    fn change(&mut self, standing: Standing) {
+        (self.standing, self.life, self.since) = (standing, self.life + 1, Instant::now());
+        // Whoever answers there next, it is not the one that these were made to.
+        self.idle = Vec::new();
+    }
+}
+
+/// The caches that are listed, and those lately gone, by their numbers.
 pub struct Caches {
     limits: Limits,
     known: RefCell<Known>,
@@ -129,35 +139,56 @@
         }
     }
 
-    /// A line of the list: gives the cache's number, the same for as long as the router lives.
-    pub fn listed(&self, id: &str, address: Option<SocketAddr>, standing: Standing) -> CacheNo {
+    /// A line of the list: gives the cache's number, the same until it is gone and forgotten; none for one that
+    /// was not there and is gone. A long day brings ever new ids: the number of one that has been gone for a while,
+    /// and that no view names any more, is the next one's.
+    pub fn listed(
+        &self,
+        id: &str,
+        address: Option<SocketAddr>,
+        standing: Standing,
+        named: impl Fn(CacheNo) -> bool,
+    ) -> Option<CacheNo> {
         let known = &mut *self.known.borrow_mut();
+        let (kept, now) = (self.limits.gone_kept, Instant::now());
         let no = match known.numbers.get(id) {
             Some(no) => *no,
+            None if standing == Standing::Gone => return None,
             None => {
-                let no = known.caches.len() as u32;
-                let cache = Cache { id: id.to_string(), address, standing, life: 0, idle: Vec::new() };
-                known.caches.push(cache);
-                known.numbers.insert(id.to_string(), no);
-                no
+                let forgotten = |(no, cache): (usize, &Cache)| {
+                    let gone = cache.standing == Standing::Gone && now - cache.since >= kept;
+                    gone && !named(CacheNo(no as u32))
+                };
+                let no = known.caches.iter().enumerate().position(forgotten).unwrap_or(known.caches.len());
+                match known.caches.get_mut(no) {
+                    Some(cache) => {
+                        known.numbers.remove(&cache.id);
+                        // Its life goes on: nothing ordered for the last one may be taken for this one's.
+                        (cache.id, cache.life) = (id.to_string(), cache.life + 1);
+                    }
+                    None => {
+                        let (id, idle) = (id.to_string(), Vec::new());
+                        known.caches.push(Cache { id, address, standing, since: now, life: 0, idle });
+                    }
+                }
+                tracing::debug!(id, no, "a new cache");
+                known.numbers.insert(id.to_string(), no as u32);
+                no as u32
             }
         };
         let cache = &mut known.caches[no as usize];
         if cache.standing != standing || cache.address != address {
-            cache.life += 1;
-            // Whoever answers there next, it is not the one that these were made to.
-            cache.idle.clear();
+            cache.change(standing);
         }
-        (cache.standing, cache.address) = (standing, address);
-        CacheNo(no)
+        cache.address = address;
+        Some(CacheNo(no))
     }
 
     /// The whole list came: what it does not name is gone.
     pub fn gone_but(&self, named: &[CacheNo]) {
         for (no, cache) in self.known.borrow_mut().caches.iter_mut().enumerate() {
             if !named.contains(&CacheNo(no as u32)) && cache.standing != Standing::Gone {
-                (cache.standing, cache.life) = (Standing::Gone, cache.life + 1);
-                cache.idle.clear();
+                cache.change(Standing::Gone);
             }
         }
     }
@@ -186,7 +217,10 @@
     fn take_idle(&self, no: CacheNo) -> Option<Link> {
         let mut known = self.known.borrow_mut();
         let idle = &mut known.caches[no.0 as usize].idle;
-        while let Some((link, since)) = idle.pop() {
+        // The latest that has settled: what an answer brought with it that is no part of it would else pass for
+        // the next one, and may come a moment after.
+        while let Some(last) = idle.iter().rposition(|(_, since)| since.elapsed() >= self.limits.settle) {
+            let (link, since) = idle.remove(last);
             // One that its cache has closed, or that says something unasked, is not used.
             if since.elapsed() < self.limits.cache_idle && is_quiet(&link) {
                 return Some(link);
@@ -266,16 +300,17 @@
             match link.stream.write(head.as_bytes()).await {
                 // Nothing left here: the cache closed an idle connection at the moment of its use.
                 Err(_) | Ok(0) if reused => continue,
-                Err(_) | Ok(0) => return (End::without(Verdict::Broken), None),
+                Err(_) | Ok(0) => return (End::without(Verdict::Unreachable), None),
                 Ok(written) => {
-                    sent.set(true);
                     let rest = async {
                         link.stream.write_all(&head.as_bytes()[written..]).await?;
                         link.stream.write_all(body).await
                     };
+                    // A request of which a part never left cannot have run, however the connection ended.
                     if rest.await.is_err() {
-                        return (End::without(Verdict::Broken), None);
+                        return (End::without(Verdict::Unreachable), None);
                     }
+                    sent.set(true);
                 }
             }
             return match self.answer(&mut link, budget).await {
@@ -307,20 +342,29 @@
     ) -> Result<(End, Option<Held>, bool), anyhow::Error> {
         let Limits { head: longest_head, body: longest_body, first_read, .. } = self.limits;
         let mut read = BytesMut::zeroed(first_read);
-        let mut filled = 0;
+        let (mut filled, mut room) = (0, longest_head);
         let head = loop {
+            match tindoor_http::head(&read[..filled], room, longest_body)? {
+                // What comes before the answer is passed over, all of it within the room for one head.
+                Some(head) if head.is_interim() => {
+                    read.advance(head.size);
+                    (filled, room) = (filled - head.size, room - head.size);
+                    continue;
+                }
+                Some(head) => break head,
+                None => {}
+            }
             if filled == read.len() {
-                read.resize(filled * 2, 0);
+                read.resize((filled * 2).max(first_read), 0);
             }
             let more = link.stream.read(&mut read[filled..]).await?;
             anyhow::ensure!(more > 0, "closed after {filled} bytes");
             filled += more;
-            if let Some(head) = tindoor_http::head(&read[..filled], longest_head, longest_body)? {
-                break head;
-            }
         };
         let whole = head.size + head.length;
-        anyhow::ensure!(filled <= whole, "bytes behind the answer");
+        // What comes behind it is no part of it: the answer is good, and the connection of no further use.
+        let alone = filled <= whole;
+        filled = filled.min(whole);
         // No fault of the cache: the router itself stops waiting.
         let Some(held) = budget.take(whole) else {
             return Ok((End::without(Verdict::CalledOff), None, false));
@@ -350,7 +394,7 @@
         });
         let body = if head.status == 200 { read.freeze() } else { Bytes::new() };
         let end = End { verdict, note, valid: head.status == 304, body };
-        Ok((end, Some(held), !head.closes))
+        Ok((end, Some(held), alone && !head.closes))
     }
 }
 
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -13,7 +13,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, Stream, StreamExt, future, stream};
 use socket2::SockRef;
-use tindoor_thrift::{Fault, Message, Objection, Reply, aborted, application_exception, try_later};
+use tindoor::control::Control;
+use tindoor_thrift::{Fault, Message, Objection, Reply, aborted, application_exception};
 
 use crate::Router;
 use crate::caches::Held;
@@ -37,6 +38,8 @@
     closing: Cell<bool>,
     /// Nothing more is read: what is to be written still are the last answers.
     parting: Cell<bool>,
+    /// An answer is being written.
+    writing: Cell<bool>,
     /// It has sent a whole frame.
     asked: Cell<bool>,
     used: Cell<Instant>,
@@ -52,6 +55,7 @@
             writer: Cell::default(),
             closing: Cell::new(false),
             parting: Cell::new(false),
+            writing: Cell::new(false),
             asked: Cell::new(false),
             used: Cell::new(Instant::now()),
             unwritten,
@@ -87,8 +91,10 @@
         }
     }
 
+    /// Nothing is open. While an answer is still being written, a next call may come, and would be lost.
     fn is_idle(&self) -> bool {
-        self.open.borrow().is_empty() && self.replies.borrow().is_empty() && !self.closing.get()
+        let owes = !self.open.borrow().is_empty() || !self.replies.borrow().is_empty() || self.writing.get();
+        !owes && !self.closing.get()
     }
 
     /// The next answer to write; none once the connection is to be closed.
@@ -98,6 +104,7 @@
                 return Poll::Ready(None);
             }
             let next = self.replies.borrow_mut().pop_front();
+            self.writing.set(next.is_some());
             match next {
                 Some(reply) => Poll::Ready(Some(reply)),
                 None if self.parting.get() => Poll::Ready(None),
@@ -187,7 +194,7 @@
 }
 
 async fn read(router: &Rc<Router>, client: &Rc<Client>, stream: &Async<TcpStream>) -> io::Result<()> {
-    let mut frames = pin!(frames(stream, router.limits));
+    let mut frames = pin!(frames(client, stream, router.limits));
     while let Some((frame, arrived)) = frames.try_next().await? {
         client.used.set(arrived);
         client.asked.set(true);
@@ -201,10 +208,11 @@
 }
 
 /// The frames that a client sends, each with when its last byte was read.
-fn frames(
-    stream: &Async<TcpStream>,
+fn frames<'a>(
+    client: &'a Client,
+    stream: &'a Async<TcpStream>,
     limits: Limits,
-) -> impl Stream<Item = io::Result<(Bytes, Instant)>> + use<'_> {
+) -> impl Stream<Item = io::Result<(Bytes, Instant)>> + use<'a> {
     // A connection that never asked, and one with half a frame, has so long from then on; others may rest.
     let first = (BytesMut::new(), Instant::now(), Some(Instant::now()));
     stream::try_unfold(first, move |(mut read, mut arrived, mut begun)| async move {
@@ -216,6 +224,10 @@
             }
             // One that sends at full speed gets its turn as the others do.
             future::yield_now().await;
+            // Nothing is taken on a connection that is to be closed: its answer could not be given.
+            if client.closing.get() {
+                return Ok(None);
+            }
             let filled = read.len();
             read.resize(filled + limits.read, 0);
             let more = match (&mut stream.get_ref()).read(&mut read[filled..]) {
@@ -282,7 +294,8 @@
                 if let Some(times) = router.no_room.told() {
                     tracing::warn!(views, times, "no room for a view");
                 }
-                client.send(try_later(seq, &[]), None);
+                let come_back = router.decisions.tell(Control::come_back);
+                client.send(view::turned_back(seq, come_back), None);
                 return Ok(());
             };
             let (no, slot) = router.decisions.open_view();
@@ -338,3 +351,28 @@
         self.0.set(self.0.get() - 1);
     }
 }
+
+#[cfg(test)]
+mod stories {
+    use super::*;
+    use crate::limits::Machine;
+
+    #[test]
+    fn a_connection_is_not_idle_while_its_answer_is_written_and_takes_nothing_once_it_is_to_close() {
+        let client = Client::new(Rc::default());
+        client.send(aborted(1, &[]), None);
+        assert!(async_io::block_on(client.next_reply()).is_some());
+        assert!(!client.is_idle(), "a call that comes now would be lost by a close");
+        assert!(async_io::block_on(future::poll_once(client.next_reply())).is_none());
+        assert!(client.is_idle());
+
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut other = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Async::new(listener.accept().unwrap().0).unwrap();
+        io::Write::write_all(&mut other, &[0, 0, 0, 1, 7]).unwrap();
+        client.close();
+        let limits = Limits::of(Machine { descriptors: 64, memory_mb: 32, ..Machine::default() });
+        let mut frames = pin!(frames(&client, &stream, limits));
+        assert!(async_io::block_on(frames.try_next()).unwrap().is_none());
+    }
+}
--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -121,6 +121,7 @@
     ensure!(!offerings.is_empty(), "{path}: empty");
     let rules = settings.at("rules")?;
     rules.number("drain_grace", [0, u64::MAX], None)?;
+    let warm_within = rules.number("warm_within", [0, 3_600_000_000], Some(20_000_000))?;
     let locations = settings.words("zones")?;
     settings.number("zone", [0, locations.len().saturating_sub(1) as u64], None)?;
     let allowed = settings.at("limits")?;
@@ -138,6 +139,7 @@
         connect: micros("connect_timeout", 400_000)?,
         cache_idle: micros("conn_idle", 30_000_000)?,
         cut_off: offerings.iter().map(|offering| offering.cut_off).max().unwrap_or_default(),
+        warm_within: Duration::from_micros(warm_within),
         open_views: allowed.number("open_cap", [1, 1 << 20], Some(1 << 12))?.min(1 << 12) as usize,
     };
     let known = top.at("known")?;
--- a/crates/router/src/desk.rs
+++ b/crates/router/src/desk.rs
@@ -107,11 +107,21 @@
     }
 }
 
+/// A view in hand.
+struct Open {
+    slot: Rc<Slot>,
+    sent: u16,
+    /// The caches and sources of its dispatches: their numbers stay theirs for as long.
+    names: Vec<CacheNo>,
+}
+
 /// Views by their numbers, and when the module is to be woken.
 #[derive(Default)]
 pub struct Desk {
-    slots: Vec<Option<(Rc<Slot>, u16)>>,
+    slots: Vec<Option<Open>>,
     free: Vec<u32>,
+    /// By cache, how often it is named by views in hand.
+    named: Vec<u32>,
     wake_at: Option<Instant>,
     alarm: Rc<Alarm>,
 }
@@ -139,15 +149,20 @@
 impl Desk {
     fn put(&self, view: ViewNo, order: Order) {
         match self.slots.get(view.0 as usize).and_then(Option::as_ref) {
-            Some((slot, _)) => slot.put(order),
+            Some(open) => open.slot.put(order),
             None => tracing::error!(?view, ?order, "an order for a view that is not there"),
         }
     }
 
     fn dispatch(&mut self, view: ViewNo, cache: CacheNo, wait: Span, terms: Option<Terms>) {
-        let Some(Some((_, sent))) = self.slots.get_mut(view.0 as usize) else { return };
-        let nth = *sent;
-        *sent += 1;
+        let Some(Some(open)) = self.slots.get_mut(view.0 as usize) else { return };
+        let nth = open.sent;
+        open.sent += 1;
+        for no in [Some(cache), terms.map(|terms| terms.source)].into_iter().flatten() {
+            open.names.push(no);
+            self.named.resize(self.named.len().max(no.0 as usize + 1), 0);
+            self.named[no.0 as usize] += 1;
+        }
         tracing::debug!(view = view.0, nth, cache = cache.0, "ordered");
         let wait = Duration::from_micros(wait.as_micros());
         self.put(view, Order::Dispatch(Dispatch { nth, cache, wait, terms, ordered: Instant::now() }));
@@ -224,7 +239,7 @@
         let slot = Rc::new(Slot::default());
         let mut control = self.control.borrow_mut();
         let desk = control.host();
-        let fresh = Some((Rc::clone(&slot), 0));
+        let fresh = Some(Open { slot: Rc::clone(&slot), sent: 0, names: Vec::new() });
         let no = match desk.free.pop() {
             Some(no) => {
                 desk.slots[no as usize] = fresh;
@@ -240,8 +255,7 @@
 
     /// The router ends: nothing more is done for any view.
     pub fn leave_all(&self) {
-        let slots = self.control.borrow_mut().host().slots.iter().flatten().cloned().collect::<Vec<_>>();
-        slots.iter().for_each(|(slot, _)| slot.put(Order::Left));
+        self.control.borrow_mut().host().slots.iter().flatten().for_each(|open| open.slot.put(Order::Left));
     }
 
     /// The view has its final answer and every dispatch of it was reported.
@@ -249,10 +263,16 @@
         self.open.set(self.open.get() - 1);
         let mut control = self.control.borrow_mut();
         let desk = control.host();
-        desk.slots[no.0 as usize] = None;
+        let open = desk.slots[no.0 as usize].take();
+        open.iter().flat_map(|open| &open.names).for_each(|name| desk.named[name.0 as usize] -= 1);
         desk.free.push(no.0);
     }
 
+    /// Whether a view in hand was sent to that cache, or with it as source.
+    pub fn names(&self, no: CacheNo) -> bool {
+        self.control.borrow_mut().host().named.get(no.0 as usize).is_some_and(|count| *count > 0)
+    }
+
     /// Wakes the module whenever it asked for it; never ends.
     pub async fn keep_time(&self) {
         loop {
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -133,8 +133,10 @@
         if address.is_none() {
             tracing::warn!(id = member.id, address = member.host_port, "no address with a port");
         }
+        let named = |no| router.decisions.names(no);
+        let Some(cache) = router.caches.listed(&member.id, address, standing, named) else { continue };
         lines.push(Listed {
-            cache: router.caches.listed(&member.id, address, standing),
+            cache,
             stable: stable(&member.id),
             standing,
             started: Some(member.up_since_ms).filter(|at| *at > 0).map(Clock::unix_ms),
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -8,7 +8,7 @@
 use futures_lite::future;
 
 /// What the configuration says of the machine and of the connections.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Machine {
     pub memory_mb: u64,
     pub descriptors: usize,
@@ -17,6 +17,8 @@
     pub open_views: usize,
     /// The longest cut-off of any offering.
     pub cut_off: Duration,
+    /// How long a cache that starts takes to be warm.
+    pub warm_within: Duration,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -59,6 +61,13 @@
     pub cache_idle: Duration,
     /// How long a client may take to its first frame, and from the first byte of a frame to its last.
     pub frame_wait: Duration,
+    /// How long a client may wait at most; what it says beyond that is cut to it.
+    pub patience: Duration,
+    /// How long a connection lies idle before its next use.
+    pub settle: Duration,
+    /// How long the number of a cache that has gone stays its own: the module counts it by what it did for two
+    /// warm-ups.
+    pub gone_kept: Duration,
     /// How long an answer may wait for its client to take it, from when it was given.
     pub untaken: Duration,
     /// How long the change log may say nothing: it beats each second, and a new connection, though the first
@@ -107,6 +116,9 @@
             connect: machine.connect,
             cache_idle: machine.cache_idle / 2,
             frame_wait: Duration::from_secs(2),
+            patience: machine.cut_off.max(Duration::from_secs(60)),
+            settle: Duration::from_millis(2),
+            gone_kept: machine.warm_within * 3,
             untaken: Duration::from_secs(5),
             feed_silence: Duration::from_millis(1800),
             feed_connect: Duration::from_secs(1),
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -11,7 +11,7 @@
 use tindoor::host::{Asked, Note, Verdict, ViewNo};
 use tindoor::time::Span;
 use tindoor_http::Ask;
-use tindoor_thrift::{Fields, aborted, answer, try_later};
+use tindoor_thrift::{Fields, Reply, aborted, answer, try_later};
 
 use crate::Router;
 use crate::caches::{End, Held};
@@ -70,7 +70,9 @@
     // What comes while the router stops is given up in time before it ends.
     let stop = router.stopping.get().map(|end| end.saturating_duration_since(Instant::now()));
     let stop = stop.map_or(wanted.patience, |stop| Span::micros(stop.as_micros() as u64));
-    let left = (wanted.patience - gone).min(stop);
+    // Nor is one kept in mind for as long as its client likes.
+    let longest = Span::micros(router.limits.patience.as_micros() as u64);
+    let left = (wanted.patience - gone).min(stop).min(longest);
     router.decisions.tell(|control| control.view(no, wanted.asked, left));
 
     // One dispatch is out at a time; its end is told even where the answer is long given.
@@ -104,9 +106,7 @@
                 }
             }
             Happened::Order(Order::TurnBack(come_back)) => {
-                let pause = come_back.map(|span| (span.as_micros() / 1000).to_string());
-                let fields: Vec<_> = pause.iter().map(|pause| ("pause", pause.as_str())).collect();
-                client.answer(seq, &slot, try_later(seq, &fields), None);
+                client.answer(seq, &slot, turned_back(seq, come_back), None);
                 answered = true;
             }
             Happened::Order(Order::WriteOff) => {
@@ -137,6 +137,13 @@
     router.decisions.close_view(no);
 }
 
+/// Trying again is harmless, best after `come_back`.
+pub fn turned_back(seq: i32, come_back: Option<Span>) -> Reply {
+    let pause = come_back.map(|span| (span.as_micros() / 1000).to_string());
+    let fields: Vec<_> = pause.iter().map(|pause| ("pause", pause.as_str())).collect();
+    try_later(seq, &fields)
+}
+
 fn tell_end(router: &Router, no: ViewNo, dispatch: &Dispatch, end: (Verdict, Note), last: bool) {
     let took = Span::micros(dispatch.ordered.elapsed().as_micros() as u64);
     tracing::debug!(view = no.0, nth = dispatch.nth, cache = dispatch.cache.0, ?end, ?took, last, "ended");
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,9 +1,8 @@
 //! All decisions of the router: where a view goes, where its fill comes from, when it is given up.
 //!
-//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time.
-//! Whenever something happens it sets the [`clock`](Control::clock) and calls the method named for it
-//! ([`view`](Control::view), [`answered`](Control::answered), [`listed`](Control::listed), ...). The
-//! control acts by calling the host, whose trait and plain types are in [`crate::host`].
+//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time. Whenever
+//! something happens it sets the [`clock`](Control::clock) and calls the method named for it, like
+//! [`view`](Control::view). The control acts by calling the host, whose trait and types are in [`crate::host`].
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -57,6 +56,9 @@
     took: Span,
 }
 
+/// An error of which nothing is told: of the cache, or of what was asked.
+const ERROR: (Verdict, Note) = (Verdict::Error, Note::Untold);
+
 type Drawn = (Moment, f64, Option<(u64, u16)>);
 
 /// A cache, a parent or the origin, as this router knows it.
@@ -143,6 +145,10 @@
         self.dispatches.iter().enumerate().filter(|(_, d)| d.end.is_none())
     }
 
+    fn errors(&self) -> impl Iterator<Item = &Dispatch> {
+        self.dispatches.iter().filter(|d| d.end == Some(ERROR))
+    }
+
     /// Whether it was sent to that cache in vain, and not by fault of a source.
     fn failed_in(&self, cache: CacheNo) -> bool {
         let by_source = |d: &Dispatch| d.source.is_some_and(|source| self.failed_at(source));
@@ -244,8 +250,7 @@
                 control.need(&format!("offering.{i}.{name}"))?;
             }
             let prefix = format!("offering.{i}.");
-            let own =
-                |(name, fact): (&String, &Fact)| Some((name.strip_prefix(&prefix)?.into(), fact.clone()));
+            let own = |(name, it): (&String, &Fact)| Some((name.strip_prefix(&prefix)?.into(), it.clone()));
             control.offerings.push(control.facts.iter().filter_map(own).collect());
             control.memory = control.memory.max(control.span_of(i as u16, "cut_off") * 2.0);
             control.easy.push(Samples::last(64));
@@ -366,15 +371,14 @@
             let known = self.members.get(line.cache.0 as usize);
             let out = known.map_or(0, |member| member.out);
             let fresh = Member::new(*line, tier, out, self.now);
-            match known.map(|member| (member.listed.started, member.tier)) {
+            let Listed { cache, stable, started, standing, .. } = *line;
+            match known.map(|known| (known.listed.started, known.listed.stable, known.tier)) {
                 None => self.members.push(fresh),
                 // Gone; its size and place still tell how the load was shared.
-                Some(_) if line.standing == Standing::Gone => {
-                    self.member_mut(line.cache).listed.standing = Standing::Gone
-                }
+                Some(_) if standing == Standing::Gone => self.member_mut(cache).listed.standing = standing,
                 // The same life goes on: what was learned of its health stays.
-                Some(same) if same == (line.started, tier) => self.member_mut(line.cache).listed = *line,
-                Some(_) => *self.member_mut(line.cache) = fresh,
+                Some(same) if same == (started, stable, tier) => self.member_mut(cache).listed = *line,
+                Some(_) => *self.member_mut(cache) = fresh,
             }
         }
         self.tiers.iter_mut().for_each(Vec::clear);
@@ -415,11 +419,6 @@
         self.route(no);
     }
 
-    /// Nobody waits for this view any more.
-    pub fn left(&mut self, no: ViewNo) {
-        self.finish(no);
-    }
-
     /// A streamed answer began: the dispatch belongs to the client now.
     pub fn started(&mut self, no: ViewNo) {
         self.held_mut(no).into_iter().for_each(|held| held.finished = true);
@@ -431,8 +430,8 @@
         told.filter(|work| work.is_finite()).unwrap_or_else(|| self.mean_work(asked.offering))
     }
 
-    /// The mean sending time of an offering, as its easy hits show it; before there are any, its goal, and
-    /// no more than that, as a day that begins crowded has no easy ones. Could harm where goals are short.
+    /// The mean sending time of an offering, as its easy hits show it; before there are any, its goal, and no
+    /// more than that, as a day that begins crowded has none. Could harm where goals are short.
     fn mean_work(&self, offering: u16) -> f64 {
         let (easy, goal) =
             (&self.easy[offering as usize].0, self.span_of(offering, "latency_goal").as_secs());
@@ -459,11 +458,10 @@
     }
 
     /// How full a cache, or the way in for fills, is: at 1 or more a view would come late, as the last show.
-    /// Sending slows down in proportion to what is in hand once a link is full, so the number at which it
-    /// gets too slow follows from the mean slowness and number. One of many routers sees next to nothing of
-    /// what is in hand: the more they are, the more the slowness alone decides, by lot, so that all together
-    /// let in what comes in time. Answers overload, slow caches, parents and origins, full links and hot
-    /// objects alike. Could harm where lateness has a cause that does not grow with what is in hand.
+    /// Once a link is full, sending slows down in proportion to what is in hand: the number at which it gets
+    /// too slow follows from the mean slowness and number. The more routers share it, the more the slowness
+    /// alone decides, by lot, so that all together let in what comes in time. Answers overload, slow members,
+    /// full links and hot objects. Could harm where lateness does not grow with what is in hand.
     fn crowd(&self, [held, late, room]: [f64; 3], view: &Held, hand: f64, [calm, least]: [f64; 2]) -> f64 {
         if late < calm {
             return 0.0;
@@ -519,10 +517,8 @@
 
     /// The work per second that these samples stand for, over the time that they span.
     fn pace(&self, samples: &Samples<(Moment, u16)>) -> f64 {
-        let Some((first, last)) = samples.0.front().zip(samples.0.back()).filter(|_| samples.0.len() >= 12)
-        else {
-            return 0.0;
-        };
+        let ends = samples.0.front().zip(samples.0.back());
+        let Some((first, last)) = ends.filter(|_| samples.0.len() >= 12) else { return 0.0 };
         let work: f64 = samples.0.iter().map(|sample| self.mean_work(sample.1)).sum();
         work / last.0.since(first.0).as_secs().max(0.5)
     }
@@ -531,14 +527,12 @@
         self.warmth(self.member(no)) >= 1.0
     }
 
-    /// Rule 4: whether a cold member can take this work without any danger of falling over. The budget
-    /// of a sliding window is what it surely has, times the multiple that it bears, times the window. Its
-    /// capacity is its size over the routers that reach it where sizes are told, and else put low: what warm
-    /// members lately did for this router, shared over all that are ready or answered within two warm-ups,
-    /// as the list may name one of a lost branch before the rest. So the routers' budgets add up to one.
-    /// First tries count in part, for a router just started; clients' repeats swell after a loss and do not.
-    /// Where hundreds share a budget, one's part is less than a view: then what is wanted passes by lot, as
-    /// often as keeps all together within it. Could harm where chance has many routers send at once.
+    /// Rule 4: whether a cold member can take this work and not fall over. The budget of a sliding window is
+    /// what it surely has, times the multiple that it bears, times the window. Its capacity is its size over
+    /// the routers that reach it where sizes are told, else put low: what warm members lately did for this
+    /// router, over all that are ready or answered within two warm-ups, as one of a lost branch may be listed
+    /// first. First tries count in part, for a router just started; repeats swell after a loss and do not.
+    /// Where hundreds share one, what is wanted passes by lot. Could harm where chance has many send at once.
     fn bears(&self, member: &Member, work: f64, lot: u64) -> bool {
         let warmth = self.warmth(member);
         if warmth >= 1.0 {
@@ -572,9 +566,8 @@
         spent == 0.0 && unit(mix(lot, member.listed.stable)) * wanted < budget * 0.7
     }
 
-    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: as much less
-    /// as its last fills took longer than the best parent's. Guards against slow, crowded and half-hung
-    /// parents, not what slows all alike. Could harm where the better parent cannot take it all.
+    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: less as its fills
+    /// took longer than the best one's, so not where all are slow. Could harm where the best can't take it all.
     fn fitness(&self, member: &Member) -> f64 {
         let usual = self.strain(&self.fill_loads[0], 40, 0.3)[1];
         let pressure = |m: &Member| self.strain(&m.loads, 12, usual)[1];
@@ -656,17 +649,17 @@
             Some(parent) if !through => Some(parent.1),
             _ => origin,
         };
-        // Where no cache of the location can take it, the parent answers by itself; where one would just be
-        // late, a calm parent does. Could harm a parent that many locations turn to at once.
+        // Where no cache can take it, the parent answers by itself; where one would just be late, a calm parent.
+        // Could harm a parent that many locations turn to at once.
         let calm = |no: &CacheNo| self.strain(&self.member(*no).loads, 12, 0.3)[1] < 0.45;
         let straight = source.filter(|_| direct && !through);
         let cache = match cache.map(|cache| cache.1) {
             Some(cache) if !self.too_late(self.member(cache), held) => Some(cache),
             late => straight.filter(|no| late.is_none() || calm(no)),
         };
-        // While fills come late, a view is first sent without one, or with only what the parent holds where
-        // just the origin's come late: hits and joins are served as ever; what surely misses is filled within
-        // the limit or turned back. Guards the link, the parents and the origin, whatever made them late.
+        // While fills come late, a view is first sent without one, or with only what the parent holds where just
+        // the origin's do: hits and joins are served as ever; what surely misses is filled within the limit or
+        // turned back. Guards the link, the parents and the origin, whatever made them late.
         let [near, far] = [0, 1].map(|far| self.fill_crowd(held, far));
         // Where notes do not tell the origin's fills apart, half being quick shows that just those are late.
         let told = self.facts.get("notes").is_some_and(|notes| notes.word() == "all");
@@ -720,8 +713,7 @@
         let bears = |no: CacheNo| self.bears(self.member(no), work, held.lot);
         let borne = bears(cache) && source.is_none_or(bears);
         let more = (held.dispatches.len() as f64) < self.fact("most_dispatches", 1.0);
-        let early = left >= Span::millis(10) && more;
-        if !(early && harmless && (open == 0 || second) && both_ready && borne) {
+        if !(left >= Span::millis(10) && more && harmless && (open == 0 || second) && both_ready && borne) {
             return self.give_up(no);
         }
         // Rule 5: the oldest copy allowed is younger than the newest purge that this router knows of.
@@ -841,9 +833,8 @@
         }
         let fit = |m: &&Member| m.is_ready() && m.out_until.is_none();
         let peers = self.tier(member.tier).filter(fit).filter(|m| m.listed.cache != no);
-        let peer_signs: Vec<bool> = peers.flat_map(|m| m.signs.0.iter().copied()).collect();
-        let peer_bad =
-            peer_signs.iter().filter(|good| !**good).count() as f64 / peer_signs.len().max(1) as f64;
+        let theirs: Vec<bool> = peers.flat_map(|m| m.signs.0.iter().copied()).collect();
+        let peer_bad = theirs.iter().filter(|good| !**good).count() as f64 / theirs.len().max(1) as f64;
         let share = bad as f64 / member.signs.0.len() as f64;
         let failing = bad >= 3 && share > 0.3 + 1.5 * peer_bad;
         if failing || (on_trial && !good) {
@@ -910,11 +901,17 @@
                 self.easy[asked.offering as usize].add(took);
             }
         }
-        if !called_off {
+        // What a bad client asks is an error at every cache, and says nothing of them: errors count once another
+        // dispatch of the view is done. Could harm where none ever is, as then none is left out.
+        let errors: Vec<Dispatch> = self.held(no).into_iter().flat_map(Held::errors).copied().collect();
+        for failed in errors.into_iter().filter(|_| verdict == Verdict::Done) {
+            self.learn(failed.cache, failed.source, &asked, ERROR);
+        }
+        if !called_off && end != ERROR {
             self.learn(cache, source, &asked, end);
         }
         if last || self.held(no).is_none_or(|held| held.finished) {
-            return self.finish(no);
+            return self.left(no);
         }
         if matches!(filling, Filling::Not | Filling::IfHeld) && verdict == Verdict::Miss {
             return self.route(no);
@@ -965,46 +962,51 @@
         let shaken = self.chance.random_range(0.0..1.0);
         let Some(held) = self.held(no) else { return };
         let full = |d: &&Dispatch| matches!(d.end, Some((Verdict::Full, Note::Untold | Note::NoFillPlace)));
-        let fulls = held.dispatches.iter().filter(full).count();
+        let vain = held.dispatches.iter().filter(full).count() > 1 || held.errors().count() > 3;
         let nth = held.dispatches.len() as f64;
         // The waiters of a failed join come back spread out; what was only diverted goes at once.
         let pause = match verdict {
             Verdict::Full | Verdict::Unreachable | Verdict::CalledOff => Span::ZERO,
             _ => Span::millis(20) * (nth * shaken),
         };
-        // When most sends are retries, or two caches are full, more of them only feed the trouble.
+        // When most sends are retries, two caches are full or four fail, more only feed the trouble.
         match now + pause {
-            at if fulls > 1 || retries > 40 || at + Span::millis(10) >= held.end => self.give_up(no),
+            at if vain || retries > 40 || at + Span::millis(10) >= held.end => self.give_up(no),
             at if at == now => self.route(no),
             at => self.alarm(at, no),
         }
     }
 
+    /// When one that is turned back, here or at the door, may come again, where that can be told.
+    pub fn come_back(&mut self) -> Option<Span> {
+        let rest = Span::secs(self.chance.random_range(0.05..0.3));
+        let rest = rest.min(self.span("longest_come_back", Span::ZERO));
+        Some(rest).filter(|_| self.fact("come_back_told", 0.0) > 0.0)
+    }
+
     /// Answers a view that will not be done, at once; rule 2 decides how.
     fn give_up(&mut self, no: ViewNo) {
-        let come_back = self.chance.random_range(0.05..0.3);
-        let come_back = Span::secs(come_back).min(self.span("longest_come_back", Span::ZERO));
-        let advised = self.fact("come_back_told", 0.0) > 0.0;
+        let come_back = self.come_back();
         let calling_off = self.fact("calling_off", 0.0) > 0.0;
         let Some(held) = self.held(no).filter(|held| !held.finished) else { return };
         let offering = held.asked.offering;
         let open: Vec<u16> = held.open().filter(|(_, d)| !d.called_off).map(|(nth, _)| nth as u16).collect();
-        let word = |what: &str| self.word_of(offering, what);
-        let honest = match (word("effect"), word("group")) {
+        let honest = match (self.word_of(offering, "effect"), self.word_of(offering, "group")) {
             ("repeatable", _) | ("tagged", "all") => true,
             _ => held.ran().is_none(),
         };
         match honest {
-            true => self.host.turn_back(no, Some(come_back).filter(|_| advised)),
+            true => self.host.turn_back(no, come_back),
             false => self.host.write_off(no),
         }
         for nth in open.into_iter().filter(|_| calling_off) {
             self.host.call_off(no, nth);
         }
-        self.finish(no);
+        self.left(no);
     }
 
-    fn finish(&mut self, no: ViewNo) {
+    /// Nobody waits for this view any more: it has its answer, or its client left.
+    pub fn left(&mut self, no: ViewNo) {
         if let Some(held) = self.held_mut(no) {
             held.finished = true;
             if held.open().count() == 0 {
--- a/src/host.rs
+++ b/src/host.rs
@@ -10,7 +10,7 @@
 pub struct ViewNo(pub u32);
 
 /// A cache's place in the caller's table, in the order of first listing from 0; parents and the origin
-/// have one too. Never used again.
+/// have one too. Another may get the number of one that is gone once no view in hand was sent there or with it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CacheNo(pub u32);
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -604,6 +604,54 @@
     }
 }
 
+#[test]
+fn what_no_cache_can_use_is_soon_given_up_and_keeps_none_of_them_out() {
+    let mut r = router(&fleet(), &[]);
+    let bad = place(&r.view(0, 1)).0;
+    r.end(0, Verdict::Done, Note::Hit, 20);
+    let good = |r: &mut Router, object, failing: bool| {
+        let failing = place(&r.view(0, object)).0 == bad && failing;
+        if failing {
+            r.end(0, Verdict::Unreachable, Note::Untold, 1);
+        }
+        r.end(u16::from(failing), Verdict::Done, Note::Hit, 20);
+        r.wait(10);
+    };
+    (0..100).for_each(|object| good(&mut r, object, true));
+    r.wait(8000);
+    for object in 0..200 {
+        // A bad client's, an error wherever it is asked for, meets the cache first on its trials.
+        let (mut acts, mut nth) = (r.view(0, 1), 0);
+        while !matches!(acts[..], [Act::TurnBack(..)]) {
+            let at_once = r.end(nth, Verdict::Error, Note::Untold, 1);
+            acts = [at_once, r.wait(200)].concat();
+            nth += 1;
+        }
+        assert!(nth <= 4, "{nth} dispatches");
+        good(&mut r, object, false);
+    }
+    assert_eq!([place(&r.view(0, 1)).0, place(&r.view(0, 1)).0], [bad, bad], "no longer on trial");
+}
+
+#[test]
+fn the_number_of_a_cache_that_is_gone_may_be_a_new_ones_who_starts_unblamed() {
+    let mut r = router(&fleet(), &[]);
+    let bad = place(&r.view(0, 1)).0;
+    for object in 0..200 {
+        let failing = place(&r.view(0, object)).0 == bad;
+        if failing {
+            r.end(0, Verdict::Unreachable, Note::Untold, 1);
+        }
+        r.end(u16::from(failing), Verdict::Done, Note::Hit, 20);
+        r.wait(10);
+    }
+    let gone = Listed { standing: Standing::Gone, ..fleet()[bad as usize] };
+    r.control.listed(ListForm::Changes, &[gone]);
+    r.control.listed(ListForm::Changes, &[line(bad, 77, 0, None)]);
+    let met = (0..200).filter(|object| place(&r.view(0, 5000 + object)).0 == bad).count();
+    assert!(met > 20, "{met} views for the new cache");
+}
+
 #[test]
 fn never_so_many_are_left_out_that_the_rest_would_drown() {
     let mut r = router(&fleet(), &[]);
