A connection makes room only when no call has come on it; new ones last

Never-asked connections made room first, among them ones a moment old whose first call was on its way, and the one that a call crossing a close is sent again on; a call that lay in the system's buffer was destroyed by the close. Now a connection has 250 ms for its first call before it makes room ahead of those that rest, and one with something unread makes none. The story of one client fails without it.

--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -31,6 +31,7 @@
 
 /// One connection of a client.
 pub struct Client {
+    stream: Async<TcpStream>,
     /// The views whose answers are owed, by sequence number.
     open: RefCell<HashMap<i32, Rc<Slot>>>,
     replies: RefCell<VecDeque<Given>>,
@@ -38,23 +39,28 @@
     closing: Cell<bool>,
     /// Nothing more is read: what is to be written still are the last answers.
     parting: Cell<bool>,
+    /// Something has come that is not yet read.
+    come: Cell<bool>,
     /// An answer is being written.
     writing: Cell<bool>,
     /// It has sent a whole frame.
     asked: Cell<bool>,
+    /// When something was last read or written; at first, when it came up.
     used: Cell<Instant>,
     /// Answers of all connections that are not yet written.
     unwritten: Rc<Cell<usize>>,
 }
 
 impl Client {
-    fn new(unwritten: Rc<Cell<usize>>) -> Self {
+    fn new(stream: Async<TcpStream>, unwritten: Rc<Cell<usize>>) -> Self {
         Self {
+            stream,
             open: RefCell::default(),
             replies: RefCell::default(),
             writer: Cell::default(),
             closing: Cell::new(false),
             parting: Cell::new(false),
+            come: Cell::new(false),
             writing: Cell::new(false),
             asked: Cell::new(false),
             used: Cell::new(Instant::now()),
@@ -94,7 +100,16 @@
     /// Nothing is open. While an answer is still being written, a next call may come, and would be lost.
     fn is_idle(&self) -> bool {
         let owes = !self.open.borrow().is_empty() || !self.replies.borrow().is_empty() || self.writing.get();
-        !owes && !self.closing.get()
+        !owes && !self.come.get() && !self.closing.get()
+    }
+
+    /// Closes it, unless a call lies in the system's buffer: a close would destroy it.
+    fn make_way(&self) -> bool {
+        self.come.set(self.stream.get_ref().peek(&mut [0]).is_ok_and(|size| size > 0));
+        if !self.come.get() {
+            self.close();
+        }
+        !self.come.get()
     }
 
     /// The next answer to write; none once the connection is to be closed.
@@ -125,7 +140,7 @@
         // Hundreds that connect at once must not keep the connections there are from being served.
         future::yield_now().await;
         clients.retain(|client| client.upgrade().is_some_and(|client| !client.closing.get()));
-        if clients.len() >= router.limits.client_connections && !make_room(&clients) {
+        if clients.len() >= router.limits.client_connections && !make_room(&clients, &router.limits) {
             Timer::after(router.limits.look_again).await;
             continue;
         }
@@ -134,42 +149,60 @@
                 let _ = stream.get_ref().set_nodelay(true);
                 // What the system buffers for a client that reads slowly counts as memory, too.
                 let _ = SockRef::from(stream.get_ref()).set_send_buffer_size(router.limits.send_buffer);
-                let client = Rc::new(Client::new(Rc::clone(&router.unwritten)));
+                let client = Rc::new(Client::new(stream, Rc::clone(&router.unwritten)));
                 clients.push(Rc::downgrade(&client));
-                router.executor.spawn(converse(Rc::clone(&router), client, stream)).detach();
+                router.executor.spawn(converse(Rc::clone(&router), client)).detach();
             }
             Err(error) => {
                 if let Some(times) = router.no_room.told() {
                     tracing::warn!(%error, times, "can't accept; closing idle connections");
                 }
                 router.caches.sweep();
-                make_room(&clients);
+                make_room(&clients, &router.limits);
                 Timer::after(router.limits.look_again).await;
             }
         }
     }
 }
 
-/// Closes a connection on which nothing is open; none may be. Those that never asked go first, so that hundreds of
-/// silent ones take no place from clients that ask; then the one idle for longest.
-fn make_room(clients: &[Weak<Client>]) -> bool {
-    let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
-    let first = idle.min_by_key(|client| (client.asked.get(), client.used.get()));
-    first.inspect(|client| client.close()).is_some()
+/// Closes a connection on which nothing is open; none may be. Those that did not ask in time go first, so that
+/// hundreds of silent ones take no place from clients that ask; then the one idle for longest; and last those that
+/// just came, whose first call may be on its way.
+fn make_room(clients: &[Weak<Client>], limits: &Limits) -> bool {
+    let now = Instant::now();
+    let rank = |client: &Rc<Client>| {
+        let class = match client.asked.get() {
+            true => 1,
+            false if now - client.used.get() >= limits.first_call => 0,
+            false => 2,
+        };
+        (class, client.used.get())
+    };
+    loop {
+        let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.is_idle());
+        match idle.min_by_key(rank) {
+            None => return false,
+            Some(client) if client.make_way() => return true,
+            Some(_) => {}
+        }
+    }
 }
 
 /// One connection until either side closes it; what is still open then has nobody waiting.
-async fn converse(router: Rc<Router>, client: Rc<Client>, stream: Async<TcpStream>) {
-    let ended = future::or(read(&router, &client, &stream), write(&router, &client, &stream)).await;
+async fn converse(router: Rc<Router>, client: Rc<Client>) {
+    let ended = future::or(read(&router, &client), write(&router, &client)).await;
     match ended {
         Err(what) if what.kind() == io::ErrorKind::InvalidData => {
             if let Some(times) = router.unreadable.told() {
                 tracing::warn!(%what, times, "a client's connection is closed: it can't be read");
             }
-            let _ = within(router.limits.farewell, part(&router, &client, &stream)).await;
+            let _ = within(router.limits.farewell, part(&router, &client)).await;
+        }
+        Err(what) => tracing::debug!(%what, open = client.open.borrow().len(), "a client's connection broke"),
+        Ok(()) => {
+            let (open, ours) = (client.open.borrow().len(), client.closing.get());
+            tracing::debug!(open, ours, "a client's connection ended");
         }
-        Err(what) => tracing::debug!(%what, "a connection of a client ended"),
-        Ok(()) => {}
     }
     client.closing.set(true);
     let unwritten = client.replies.borrow_mut().drain(..).count();
@@ -181,20 +214,20 @@
 
 /// Has the last answers and the close reach a client that may still be sending: a close with bytes unread resets the
 /// connection, which destroys what the client has not read. What comes meanwhile is read and dropped.
-async fn part(router: &Router, client: &Client, stream: &Async<TcpStream>) -> io::Result<()> {
+async fn part(router: &Router, client: &Client) -> io::Result<()> {
     client.parting.set(true);
-    write(router, client, stream).await?;
-    stream.get_ref().shutdown(Shutdown::Write)?;
+    write(router, client).await?;
+    client.stream.get_ref().shutdown(Shutdown::Write)?;
     let mut dropped = vec![0; router.limits.read];
-    let mut reader = stream;
+    let mut reader = &client.stream;
     while reader.read(&mut dropped).await? > 0 {
         future::yield_now().await;
     }
     Ok(())
 }
 
-async fn read(router: &Rc<Router>, client: &Rc<Client>, stream: &Async<TcpStream>) -> io::Result<()> {
-    let mut frames = pin!(frames(client, stream, router.limits));
+async fn read(router: &Rc<Router>, client: &Rc<Client>) -> io::Result<()> {
+    let mut frames = pin!(frames(client, router.limits));
     while let Some((frame, arrived)) = frames.try_next().await? {
         client.used.set(arrived);
         client.asked.set(true);
@@ -210,7 +243,6 @@
 /// The frames that a client sends, each with when its last byte was read.
 fn frames<'a>(
     client: &'a Client,
-    stream: &'a Async<TcpStream>,
     limits: Limits,
 ) -> impl Stream<Item = io::Result<(Bytes, Instant)>> + use<'a> {
     // A connection that never asked, and one with half a frame, has so long from then on; others may rest.
@@ -230,7 +262,8 @@
             }
             let filled = read.len();
             read.resize(filled + limits.read, 0);
-            let more = match (&mut stream.get_ref()).read(&mut read[filled..]) {
+            client.come.set(false);
+            let more = match client.stream.get_ref().read(&mut read[filled..]) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     read.truncate(filled);
                     if read.is_empty() {
@@ -240,9 +273,9 @@
                     match begun {
                         Some(begun) => {
                             let left = limits.frame_wait.saturating_sub(begun.elapsed());
-                            within(left, stream.readable()).await.map_err(|_| silent())?;
+                            within(left, client.stream.readable()).await.map_err(|_| silent())?;
                         }
-                        None => stream.readable().await?,
+                        None => client.stream.readable().await?,
                     }
                     continue;
                 }
@@ -318,8 +351,8 @@
     Ok(())
 }
 
-async fn write(router: &Router, client: &Client, stream: &Async<TcpStream>) -> io::Result<()> {
-    let mut stream = stream;
+async fn write(router: &Router, client: &Client) -> io::Result<()> {
+    let mut stream = &client.stream;
     while let Some(Given { reply: Reply { mut head, mut body, mut tail }, at, _held }) =
         client.next_reply().await
     {
@@ -359,20 +392,21 @@
 
     #[test]
     fn a_connection_is_not_idle_while_its_answer_is_written_and_takes_nothing_once_it_is_to_close() {
-        let client = Client::new(Rc::default());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut other = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let client = Client::new(Async::new(listener.accept().unwrap().0).unwrap(), Rc::default());
         client.send(aborted(1, &[]), None);
         assert!(async_io::block_on(client.next_reply()).is_some());
         assert!(!client.is_idle(), "a call that comes now would be lost by a close");
         assert!(async_io::block_on(future::poll_once(client.next_reply())).is_none());
         assert!(client.is_idle());
 
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut other = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let stream = Async::new(listener.accept().unwrap().0).unwrap();
         io::Write::write_all(&mut other, &[0, 0, 0, 1, 7]).unwrap();
+        async_io::block_on(client.stream.readable()).unwrap();
+        let (client, limits) = (Rc::new(client), Limits::of(Machine::default()));
+        assert!(!make_room(&[Rc::downgrade(&client)], &limits), "a call has come that is not yet read");
         client.close();
-        let limits = Limits::of(Machine { descriptors: 64, memory_mb: 32, ..Machine::default() });
-        let mut frames = pin!(frames(&client, &stream, limits));
+        let mut frames = pin!(frames(&client, limits));
         assert!(async_io::block_on(frames.try_next()).unwrap().is_none());
     }
 }
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -59,6 +59,8 @@
     pub connect: Duration,
     /// How long a connection to a cache may lie idle; well before the cache closes it.
     pub cache_idle: Duration,
+    /// How long the first call of a new connection may be on its way before others that rest make room for it.
+    pub first_call: Duration,
     /// How long a client may take to its first frame, and from the first byte of a frame to its last.
     pub frame_wait: Duration,
     /// How long a client may wait at most; what it says beyond that is cut to it.
@@ -115,6 +117,7 @@
             read: 16 << 10,
             connect: machine.connect,
             cache_idle: machine.cache_idle / 2,
+            first_call: Duration::from_millis(250),
             frame_wait: Duration::from_secs(2),
             patience: machine.cut_off.max(Duration::from_secs(60)),
             settle: Duration::from_millis(2),
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -655,14 +655,14 @@
         |_| Deed::Say(served(b"x")),
         |configuration| configuration["limits"]["sockets"] = json!(100),
     );
-    let mut client = Client::connect(&world.router);
-    assert!(client.healthy(1));
-    // Far more than there is room for: the silent ones make it for each other, and for one that asks.
+    // Far more than there is room for: the silent ones make it for each other, and for those that ask.
     let mut silent: Vec<_> = (0..200).map(|_| Client::connect(&world.router)).collect();
     let mut late = Client::connect(&world.router);
     late.ask(1, OBJECT);
     assert_eq!(late.reply(), (1, done(b"x")));
     late.send(&call(2, &page(OBJECT, "3000"), b"")[..30]);
+    let mut client = Client::connect(&world.router);
+    assert!(client.healthy(1));
     silent.iter_mut().for_each(|client| assert_eq!(client.next(), None));
     assert_eq!(late.next(), None);
     assert!(client.healthy(2));
