--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -18,11 +18,14 @@
 use crate::limits::{Limits, Seldom, within};
 
 /// How far the change log is known.
+#[derive(Default)]
 pub struct Place {
     /// The last event heeded.
     pub seq: u64,
     /// Lines since then that could not be read: the numbers of as many events may be missing.
     pub unread: u64,
+    /// The last event before a line that could not be read: if there is one again, it is no fault of the connection.
+    pub spoilt: Option<u64>,
     /// A gap that stood before this number: if it stands again, it is no fault of the connection.
     pub gap: Option<u64>,
 }
@@ -94,6 +97,11 @@
             (place.seq, place.unread) = (event.seq, 0);
             heed(router, event);
         }
+        // It may be a purge that was spoilt on its way: asked for again, once.
+        Err(error) if place.spoilt != Some(place.seq) => {
+            place.spoilt = Some(place.seq);
+            bail!("a line can't be read: {error}")
+        }
         Err(error) => {
             tracing::warn!(%error, "a line of the change log can't be read");
             place.unread += 1;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -98,7 +98,7 @@
         unwritten: Rc::default(),
         no_room: Seldom::default(),
         unreadable: Seldom::default(),
-        told: RefCell::new(feed::Place { seq: deployment.known_seq, unread: 0, gap: None }),
+        told: RefCell::new(feed::Place { seq: deployment.known_seq, ..feed::Place::default() }),
         stopping: Cell::new(None),
     });
     deployment.known.into_iter().for_each(|event| feed::heed(&router, event));
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -325,6 +325,8 @@
     // Cut anywhere, with a line that can't be read and a repeat between.
     let text = format!("{}not a line\n{purge}\n{purge}\n", fleet(2, vec![drained, fresh]));
     world.log.beat.change(|beat| *beat = None);
+    world.log.say("{\"seq\":2,\"inval\n");
+    assert_eq!(world.log.asks(2), [1, 1], "it may have been a purge");
     world.log.say(&format!("{}\n", "x".repeat(2_000_000)));
     for piece in text.as_bytes().chunks(7) {
         world.log.say(std::str::from_utf8(piece).unwrap());
