--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -323,7 +323,7 @@
     let fresh = member("c-2", second.address, "cache", "active");
     let purge = json!({"seq": 3, "invalidate": {"object": OBJECT, "time": 1}});
     // Cut anywhere, with a line that can't be read and a repeat between.
-    let text = format!("{}not a line\n{purge}\n{purge}\n", fleet(2, vec![drained, fresh]));
+    let text = format!("not a line\n{}{purge}\n{purge}\n", fleet(2, vec![drained, fresh]));
     world.log.beat.change(|beat| *beat = None);
     world.log.say("{\"seq\":2,\"inval\n");
     assert_eq!(world.log.asks(2), [1, 1], "it may have been a purge");
