--- a/crates/http/tests/stories.rs
+++ b/crates/http/tests/stories.rs
@@ -41,6 +41,18 @@
     }
 }
 
+#[test]
+fn what_may_come_before_an_answer_is_told_from_it() {
+    let interim = b"HTTP/1.1 103 Early\r\nContent-Length: 7\r\n\r\n";
+    let found = head(&[interim, WHOLE].concat(), 1000, 100).unwrap().unwrap();
+    assert!(found.is_interim());
+    assert_eq!((found.size, found.length), (interim.len(), 0), "it has no body, whatever it says");
+    for end in 0..interim.len() {
+        assert_eq!(head(&interim[..end], 1000, 100), Ok(None), "cut at {end}");
+    }
+    assert!(!head(WHOLE, 1000, 100).unwrap().unwrap().is_interim());
+}
+
 #[test]
 fn lengths_that_leave_the_end_open_are_refused() {
     for lines in [
--- a/crates/thrift/tests/stories.rs
+++ b/crates/thrift/tests/stories.rs
@@ -37,6 +37,28 @@
     assert!(fields.get("tag").is_none());
 }
 
+#[test]
+fn a_call_that_says_anything_twice_or_more_than_a_call_is_refused() {
+    let fields = |names: &[&str]| {
+        let mut out = vec![13, 0, 1, 11, 11];
+        out.extend((names.len() as u32).to_be_bytes());
+        names.iter().for_each(|name| {
+            text(&mut out, name.as_bytes());
+            text(&mut out, b"x");
+        });
+        out
+    };
+    let many: Vec<String> = (0..65).map(|i| i.to_string()).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    let ok = |arguments: Vec<u8>| parse(message(1, "call", 7, &arguments)).is_ok();
+    assert!(ok([fields(&["a", "b"]), vec![0]].concat()));
+    assert!(!ok([fields(&["a", "a"]), vec![0]].concat()), "a name twice");
+    assert!(!ok([fields(&["a"]), fields(&["b"]), vec![0]].concat()), "the fields twice");
+    assert!(!ok([fields(&many), vec![0]].concat()), "too many");
+    assert!(!ok([fields(&["a"]), vec![0, 0]].concat()), "bytes behind it");
+    assert!(!ok(vec![8, 0, 2, 0, 0, 0, 1, 0]), "a body that is a number");
+}
+
 #[test]
 fn a_call_cut_at_any_byte_is_no_call() {
     let whole = call();
