The life of a view and the module's clock in a package that knows no protocol

Need: a second front must share views in hand, slots, ids and the life of a view, which knew Thrift, and clients.rs and view.rs imported each other.

crates/desk holds Decisions, Desk, Slot, Ids and live(), which lives one view through a Hand; the Thrift front is one Hand. client.rs, router.rs and changelog::Place break the import circles; verdicts and notes of answers move to crates/http. Asked.ran lets the module be told of an earlier view's run.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -86,7 +86,7 @@
                 let object = record.u64()?;
                 let kb = Some(record.f32()?).filter(|kb| *kb > 0.0);
                 let no = control.host().open_view(ticket)?;
-                control.view(no, Asked { object, part, group, offering, kb, repeat }, left);
+                control.view(no, Asked { object, part, group, offering, kb, repeat, ran: None }, left);
             }
             wire::STREAMING => {
                 let (ticket, _nth, _cache, _took) =
--- a/crates/changelog/src/lib.rs
+++ b/crates/changelog/src/lib.rs
@@ -92,3 +92,17 @@
     line.pop();
     Some(line)
 }
+
+/// How far the change log is known.
+#[derive(Default)]
+pub struct Place {
+    /// The last event heeded.
+    pub seq: u64,
+    /// Lines since then that could not be read: the numbers of as many events may be missing.
+    pub unread: u64,
+    /// The last event before a line that could not be read: if there is one again, it is no fault of the
+    /// connection.
+    pub spoilt: Option<u64>,
+    /// A gap that stood before this number: if it stands again, it is no fault of the connection.
+    pub gap: Option<u64>,
+}
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -8,7 +8,7 @@
 
 use futures_lite::future;
 use tindoor::control::Control;
-use tindoor::host::{CacheNo, Host, Terms, ViewNo};
+use tindoor::host::{CacheNo, Host, Note, Terms, Verdict, ViewNo};
 use tindoor::time::{Moment, Span};
 
 /// What a view's task is told to do.
@@ -92,7 +92,7 @@
 }
 
 impl Clock {
-    pub fn new() -> Self {
+    fn new() -> Self {
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
         Self { start: Instant::now(), unix }
     }
@@ -128,13 +128,13 @@
 
 /// Tells the task that keeps the module's time of an earlier wake.
 #[derive(Default)]
-pub struct Alarm {
+struct Alarm {
     earlier: Cell<bool>,
     task: Cell<Option<Waker>>,
 }
 
 impl Alarm {
-    pub async fn changed(&self) {
+    async fn changed(&self) {
         future::poll_fn(|context| {
             if self.earlier.take() {
                 return Poll::Ready(());
@@ -228,6 +228,21 @@
         what(&mut control)
     }
 
+    /// Tells the module how a dispatch ended; `last` says that the view is finished.
+    pub fn ended(&self, no: ViewNo, dispatch: &Dispatch, end: (Verdict, Note), last: bool) {
+        let took = Span::micros(dispatch.ordered.elapsed().as_micros() as u64);
+        tracing::debug!(
+            view = no.0,
+            nth = dispatch.nth,
+            cache = dispatch.cache.0,
+            ?end,
+            ?took,
+            last,
+            "ended"
+        );
+        self.tell(|control| control.answered(no, dispatch.nth, end, took, last));
+    }
+
     /// How many views are in hand.
     pub fn open_views(&self) -> usize {
         self.open.get()
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,8 +1,12 @@
 //! Requests to caches and the heads of their answers: HTTP/1.1, one request at a time on a connection.
 //! Nothing here does I/O.
 
+mod outcome;
+
 use std::fmt::Write;
 
+pub use outcome::{note, verdict};
+
 /// A request to a cache. The texts go on as they came; the caller has seen to it that they are plain.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ask<'a> {
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -139,9 +139,9 @@
         }
     }
 
-    /// A line of the list: gives the cache's number, the same until it is gone and forgotten; none for one that
-    /// was not there and is gone. A long day brings ever new ids: the number of one that has been gone for a while,
-    /// and that no view names any more, is the next one's.
+    /// A line of the list: gives the cache's number, the same until it is gone and forgotten; none for one
+    /// that was not there and is gone. A long day brings ever new ids: the number of one that has been gone
+    /// for a while, and that no view names any more, is the next one's.
     pub fn listed(
         &self,
         id: &str,
@@ -217,8 +217,8 @@
     fn take_idle(&self, no: CacheNo) -> Option<Link> {
         let mut known = self.known.borrow_mut();
         let idle = &mut known.caches[no.0 as usize].idle;
-        // The latest that has settled: what an answer brought with it that is no part of it would else pass for
-        // the next one, and may come a moment after.
+        // The latest that has settled: what an answer brought with it that is no part of it would else pass
+        // for the next one, and may come a moment after.
         while let Some(last) = idle.iter().rposition(|(_, since)| since.elapsed() >= self.limits.settle) {
             let (link, since) = idle.remove(last);
             // One that its cache has closed, or that says something unasked, is not used.
@@ -372,21 +372,14 @@
         read.resize(whole, 0);
         link.stream.read_exact(&mut read[filled..]).await?;
         let _ = read.split_to(head.size);
-        let verdict = match (head.status, head.shed) {
-            (200 | 304, _) => Verdict::Done,
-            (404, _) => Verdict::Miss,
-            (503, true) => Verdict::Full,
-            (504, true) => Verdict::Moot,
-            (500, _) => Verdict::Error,
-            (status, shed) => {
-                if let Some(times) = self.strange.told() {
-                    tracing::warn!(status, shed, times, "an answer with an unknown status");
-                }
-                Verdict::Error
+        let verdict = tindoor_http::verdict(head.status, head.shed).unwrap_or_else(|| {
+            if let Some(times) = self.strange.told() {
+                tracing::warn!(head.status, head.shed, times, "an answer with an unknown status");
             }
-        };
+            Verdict::Error
+        });
         let remark = head.remark.as_deref().unwrap_or_default();
-        let note = note(remark).unwrap_or_else(|| {
+        let note = tindoor_http::note(remark).unwrap_or_else(|| {
             if let Some(times) = self.strange.told() {
                 tracing::warn!(remark, times, "an unknown remark");
             }
@@ -403,20 +396,3 @@
     let peeked = link.stream.get_ref().peek(&mut [0]);
     peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
-
-fn note(remark: &str) -> Option<Note> {
-    Some(match remark {
-        "" => Note::Untold,
-        "warm" => Note::Hit,
-        "fill" => Note::Filled,
-        "deep_fill" => Note::FilledByOrigin,
-        "piggy" => Note::Joined,
-        "aged" => Note::OldCopy,
-        "bounced" => Note::SourceRefused,
-        "dropped" => Note::SourceLost,
-        "lacking" => Note::SourceLacks,
-        "jammed" => Note::NoFillPlace,
-        "backfire" => Note::OriginFailed,
-        _ => return None,
-    })
-}
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -11,27 +11,14 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, Stream, StreamExt, stream};
 use tindoor::host::{ListForm, Listed, Standing};
 use tindoor::time::Moment;
-use tindoor_changelog::{Event, Fleet, Line, Phase, Purge};
+use tindoor_changelog::{Event, Fleet, Line, Phase, Place, Purge};
+use tindoor_desk::Clock;
 
-use crate::Router;
-use crate::desk::Clock;
 use crate::limits::{Limits, Seldom, within};
+use crate::router::Router;
 
-/// How far the change log is known.
-#[derive(Default)]
-pub struct Place {
-    /// The last event heeded.
-    pub seq: u64,
-    /// Lines since then that could not be read: the numbers of as many events may be missing.
-    pub unread: u64,
-    /// The last event before a line that could not be read: if there is one again, it is no fault of the connection.
-    pub spoilt: Option<u64>,
-    /// A gap that stood before this number: if it stands again, it is no fault of the connection.
-    pub gap: Option<u64>,
-}
-
-/// Follows the change log on from what is known, over one connection after another; never ends. May be dropped
-/// at any time, and another follow in its place.
+/// Follows the change log on from what is known, over one connection after another; never ends. May be
+/// dropped at any time, and another follow in its place.
 pub async fn follow(router: Rc<Router>, address: SocketAddr) -> Infallible {
     let ended = Seldom::default();
     loop {
@@ -67,7 +54,8 @@
             if let Some(line) = tindoor_changelog::take_line(&mut read) {
                 return Ok(Some((line, (stream, read))));
             }
-            // The rest of a line over the limit is dropped: cut short it can't be read, but the next ones can.
+            // The rest of a line over the limit is dropped: cut short it can't be read, but the next ones
+            // can.
             read.truncate(limits.line);
             let filled = read.len();
             read.resize(filled + limits.read, 0);
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -59,7 +59,8 @@
     pub connect: Duration,
     /// How long a connection to a cache may lie idle; well before the cache closes it.
     pub cache_idle: Duration,
-    /// How long the first call of a new connection may be on its way before others that rest make room for it.
+    /// How long the first call of a new connection may be on its way before others that rest make room for
+    /// it.
     pub first_call: Duration,
     /// How long a client may take to its first frame, and from the first byte of a frame to its last.
     pub frame_wait: Duration,
@@ -67,8 +68,8 @@
     pub patience: Duration,
     /// How long a connection lies idle before its next use.
     pub settle: Duration,
-    /// How long the number of a cache that has gone stays its own: the module counts it by what it did for two
-    /// warm-ups.
+    /// How long the number of a cache that has gone stays its own: the module counts it by what it did for
+    /// two warm-ups.
     pub gone_kept: Duration,
     /// How long an answer may wait for its client to take it, from when it was given.
     pub untaken: Duration,
@@ -81,8 +82,8 @@
     pub feed_pause: Duration,
     /// How long views may still come after SIGTERM.
     pub last_calls: Duration,
-    /// How long after SIGTERM what is open is answered at the latest: it may be killed from the longest cut-off
-    /// on, but 3 s at most, and 0.7 s more.
+    /// How long after SIGTERM what is open is answered at the latest: it may be killed from the longest
+    /// cut-off on, but 3 s at most, and 0.7 s more.
     pub stop: Duration,
     /// How long the last answers may take to be written, at the end and on a connection that can't be read.
     pub farewell: Duration,
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,11 +1,12 @@
 //! tindoor on sockets: starts the router, and heeds signals: to read its configuration again, and to end.
 
 mod caches;
+mod client;
 mod clients;
 mod configuration;
-mod desk;
 mod feed;
 mod limits;
+mod router;
 mod view;
 
 use std::cell::{Cell, RefCell};
@@ -24,31 +25,11 @@
 use futures_lite::StreamExt;
 
 use caches::{Budget, Caches};
-use configuration::{Deployment, Fixed, Offering};
-use desk::{Decisions, Ids};
-use limits::{Limits, Seldom};
-
-/// What every task of the router shares.
-pub struct Router {
-    executor: Rc<LocalExecutor<'static>>,
-    limits: Limits,
-    offerings: Vec<Offering>,
-    locations: Vec<String>,
-    kinds: Vec<String>,
-    decisions: Decisions,
-    ids: Ids,
-    caches: Caches,
-    budget: Rc<Budget>,
-    /// Answers that wait to be written.
-    unwritten: Rc<Cell<usize>>,
-    /// Views that could not be taken, and calls that could not be read.
-    no_room: Seldom,
-    unreadable: Seldom,
-    /// How far the change log is known.
-    told: RefCell<feed::Place>,
-    /// By when all is to be answered, once SIGTERM came.
-    stopping: Cell<Option<Instant>>,
-}
+use configuration::{Deployment, Fixed};
+use limits::Seldom;
+use router::Router;
+use tindoor_changelog::Place;
+use tindoor_desk::{Decisions, Ids};
 
 fn main() -> ExitCode {
     let level = std::env::var("TINDOOR_LOG").ok().and_then(|level| level.parse().ok());
@@ -98,7 +79,7 @@
         unwritten: Rc::default(),
         no_room: Seldom::default(),
         unreadable: Seldom::default(),
-        told: RefCell::new(feed::Place { seq: deployment.known_seq, ..feed::Place::default() }),
+        told: RefCell::new(Place { seq: deployment.known_seq, ..Place::default() }),
         stopping: Cell::new(None),
     });
     deployment.known.into_iter().for_each(|event| feed::heed(&router, event));
@@ -153,7 +134,8 @@
     }
 }
 
-/// Answers what still comes, and ends once nothing is open and no more can come; but in time before it is killed.
+/// Answers what still comes, and ends once nothing is open and no more can come; but in time before it is
+/// killed.
 async fn stop(router: &Router) {
     let told = Instant::now();
     let end = told + router.limits.stop;
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,35 @@
+//! What every task of the router shares.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+
+use async_executor::LocalExecutor;
+use tindoor_changelog::Place;
+use tindoor_desk::{Decisions, Ids};
+
+use crate::caches::{Budget, Caches};
+use crate::configuration::Offering;
+use crate::limits::{Limits, Seldom};
+
+/// What every task of the router shares.
+pub struct Router {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub limits: Limits,
+    pub offerings: Vec<Offering>,
+    pub locations: Vec<String>,
+    pub kinds: Vec<String>,
+    pub decisions: Decisions,
+    pub ids: Ids,
+    pub caches: Caches,
+    pub budget: Rc<Budget>,
+    /// Answers that wait to be written.
+    pub unwritten: Rc<Cell<usize>>,
+    /// Views that could not be taken, and calls that could not be read.
+    pub no_room: Seldom,
+    pub unreadable: Seldom,
+    /// How far the change log is known.
+    pub told: RefCell<Place>,
+    /// By when all is to be answered, once SIGTERM came.
+    pub stopping: Cell<Option<Instant>>,
+}
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -1,22 +1,21 @@
-//! The life of one view, from top to bottom.
+//! The life of one call of a client, from top to bottom.
 
 use std::cell::Cell;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Instant;
 
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
-use tindoor::host::{Asked, Note, Verdict, ViewNo};
+use tindoor::host::{Asked, Verdict, ViewNo};
 use tindoor::time::Span;
+use tindoor_desk::{Answer, Dispatch, Ended, Hand, Slot, live};
 use tindoor_http::Ask;
 use tindoor_thrift::{Fields, Reply, aborted, answer, try_later};
 
-use crate::Router;
 use crate::caches::{End, Held};
-use crate::clients::Client;
-use crate::desk::{Dispatch, Order, Slot};
+use crate::client::Client;
+use crate::router::Router;
 
 /// A call as its client sent it; its texts are slices of the frame.
 pub struct Call {
@@ -36,15 +35,38 @@
     ask: Ask<'a>,
 }
 
-enum Happened {
-    Order(Order),
-    End(End, Option<Held>),
+/// The client's side of one view: its dispatches go to caches, its answer to the client's connection.
+struct Served<'a> {
+    router: &'a Router,
+    client: &'a Client,
+    slot: &'a Rc<Slot>,
+    call: &'a Call,
+    wanted: &'a Wanted<'a>,
 }
 
-type Exchange<'a> = Pin<Box<dyn Future<Output = (End, Option<Held>)> + 'a>>;
+impl Hand for Served<'_> {
+    type Goods = (End, Option<Held>);
 
-/// Serves one view: asks the module at each point of choice and does what it says, until the client has its
-/// one final answer and every dispatch has been reported.
+    async fn carry(&self, dispatch: Dispatch) -> Ended<Self::Goods> {
+        let (end, held) = exchange(self.router, self.call, self.wanted, dispatch).await;
+        Ended { verdict: end.verdict, note: end.note, goods: (end, held) }
+    }
+
+    fn answer(&self, given: Answer<Self::Goods>) {
+        let seq = self.call.seq;
+        let (reply, held) = match given {
+            Answer::Done((end, held)) => {
+                let fields: &[_] = if end.valid { &[("valid", "1")] } else { &[] };
+                (answer("call", seq, end.body, fields, true), held)
+            }
+            Answer::TurnedBack(come_back) => (turned_back(seq, come_back), None),
+            Answer::WrittenOff | Answer::Left => (aborted(seq, &[]), None),
+        };
+        self.client.answer(seq, self.slot, reply, held);
+    }
+}
+
+/// Serves one call: reads it strictly, then lives its view through.
 pub async fn serve(router: Rc<Router>, client: Rc<Client>, call: Call, no: ViewNo, slot: Rc<Slot>) {
     let seq = call.seq;
     let wanted = match wanted(&router, &call) {
@@ -57,8 +79,8 @@
             return router.decisions.close_view(no);
         }
     };
-    // Hundreds may be withdrawn in the same breath in which they are sent: those never come to the module. And an id
-    // names one view at a time: caches tell views apart by it.
+    // Hundreds may be withdrawn in the same breath in which they are sent: those never come to the module.
+    // And an id names one view at a time: caches tell views apart by it.
     if slot.has_orders() {
         return router.decisions.close_view(no);
     }
@@ -73,67 +95,8 @@
     // Nor is one kept in mind for as long as its client likes.
     let longest = Span::micros(router.limits.patience.as_micros() as u64);
     let left = (wanted.patience - gone).min(stop).min(longest);
-    router.decisions.tell(|control| control.view(no, wanted.asked, left));
-
-    // One dispatch is out at a time; its end is told even where the answer is long given.
-    let mut out: Option<(Dispatch, Exchange)> = None;
-    let mut answered = false;
-    while !answered || out.is_some() || slot.has_orders() {
-        let order = async { Happened::Order(slot.next().await) };
-        let end = async {
-            match &mut out {
-                Some((_, exchange)) => {
-                    let (end, held) = exchange.await;
-                    Happened::End(end, held)
-                }
-                None => future::pending().await,
-            }
-        };
-        let happened = future::or(order, end).await;
-        match happened {
-            Happened::Order(Order::Dispatch(dispatch)) if out.is_none() && !answered => {
-                out = Some((dispatch, Box::pin(exchange(&router, &call, &wanted, dispatch))));
-            }
-            // Each that was ordered is told of, also where the client left before it began: else the module counts
-            // it as out for ever, and takes its cache and the way of its fills for full.
-            Happened::Order(Order::Dispatch(vain)) => {
-                tell_end(&router, no, &vain, (Verdict::Moot, Note::Untold), answered);
-            }
-            Happened::Order(Order::CallOff(nth)) => {
-                // Dropping the exchange closes its connection, which gives the request up.
-                if let Some((dispatch, _)) = out.take_if(|(dispatch, _)| dispatch.nth == nth) {
-                    tell_end(&router, no, &dispatch, (Verdict::CalledOff, Note::Untold), answered);
-                }
-            }
-            Happened::Order(Order::TurnBack(come_back)) => {
-                client.answer(seq, &slot, turned_back(seq, come_back), None);
-                answered = true;
-            }
-            Happened::Order(Order::WriteOff) => {
-                client.answer(seq, &slot, aborted(seq, &[]), None);
-                answered = true;
-            }
-            Happened::Order(Order::Left) => {
-                // Only where the router ends is there somebody to tell.
-                client.answer(seq, &slot, aborted(seq, &[]), None);
-                router.decisions.tell(|control| control.left(no));
-                if let Some((dispatch, _)) = out.take() {
-                    tell_end(&router, no, &dispatch, (Verdict::CalledOff, Note::Untold), true);
-                }
-                answered = true;
-            }
-            Happened::End(end, held) => {
-                let Some((dispatch, _)) = out.take() else { continue };
-                let done = end.verdict == Verdict::Done;
-                tell_end(&router, no, &dispatch, (end.verdict, end.note), answered || done);
-                if done && !answered {
-                    let fields: &[_] = if end.valid { &[("valid", "1")] } else { &[] };
-                    client.answer(seq, &slot, answer("call", seq, end.body, fields, true), held);
-                    answered = true;
-                }
-            }
-        }
-    }
+    let hand = Served { router: &router, client: &client, slot: &slot, call: &call, wanted: &wanted };
+    live(&router.decisions, no, &slot, (wanted.asked, left), &hand).await;
     router.decisions.close_view(no);
 }
 
@@ -144,12 +107,6 @@
     try_later(seq, &fields)
 }
 
-fn tell_end(router: &Router, no: ViewNo, dispatch: &Dispatch, end: (Verdict, Note), last: bool) {
-    let took = Span::micros(dispatch.ordered.elapsed().as_micros() as u64);
-    tracing::debug!(view = no.0, nth = dispatch.nth, cache = dispatch.cache.0, ?end, ?took, last, "ended");
-    router.decisions.tell(|control| control.answered(no, dispatch.nth, end, took, last));
-}
-
 /// One dispatch, within its own time.
 async fn exchange(
     router: &Router,
@@ -236,6 +193,7 @@
         offering: offering as u16,
         kb: None,
         repeat: repeat.is_some(),
+        ran: None,
     };
     let ask = Ask {
         offering: route,
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,8 +1,9 @@
 //! All decisions of the router: where a view goes, where its fill comes from, when it is given up.
 //!
-//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time. Whenever
-//! something happens it sets the [`clock`](Control::clock) and calls the method named for it, like
-//! [`view`](Control::view). The control acts by calling the host, whose trait and types are in [`crate::host`].
+//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time.
+//! Whenever something happens it sets the [`clock`](Control::clock) and calls the method named for it, like
+//! [`view`](Control::view). The control acts by calling the host, whose trait and types are in
+//! [`crate::host`].
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -138,7 +139,7 @@
     fn ran(&self) -> Option<(Moment, CacheNo)> {
         use Verdict::{Full, Miss, Moot, Unreachable};
         let void = |d: &Dispatch| matches!(d.end, Some((Full | Unreachable | Moot | Miss, _)));
-        self.dispatches.iter().find(|d| !void(d)).map(|d| (d.sent, d.cache))
+        self.asked.ran.or_else(|| self.dispatches.iter().find(|d| !void(d)).map(|d| (d.sent, d.cache)))
     }
 
     fn open(&self) -> impl Iterator<Item = (usize, &Dispatch)> {
@@ -566,8 +567,9 @@
         spent == 0.0 && unit(mix(lot, member.listed.stable)) * wanted < budget * 0.7
     }
 
-    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: less as its fills
-    /// took longer than the best one's, so not where all are slow. Could harm where the best can't take it all.
+    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: less as its
+    /// fills took longer than the best one's, so not where all are slow. Could harm where the best can't take
+    /// it all.
     fn fitness(&self, member: &Member) -> f64 {
         let usual = self.strain(&self.fill_loads[0], 40, 0.3)[1];
         let pressure = |m: &Member| self.strain(&m.loads, 12, usual)[1];
@@ -649,17 +651,17 @@
             Some(parent) if !through => Some(parent.1),
             _ => origin,
         };
-        // Where no cache can take it, the parent answers by itself; where one would just be late, a calm parent.
-        // Could harm a parent that many locations turn to at once.
+        // Where no cache can take it, the parent answers by itself; where one would just be late, a calm
+        // parent. Could harm a parent that many locations turn to at once.
         let calm = |no: &CacheNo| self.strain(&self.member(*no).loads, 12, 0.3)[1] < 0.45;
         let straight = source.filter(|_| direct && !through);
         let cache = match cache.map(|cache| cache.1) {
             Some(cache) if !self.too_late(self.member(cache), held) => Some(cache),
             late => straight.filter(|no| late.is_none() || calm(no)),
         };
-        // While fills come late, a view is first sent without one, or with only what the parent holds where just
-        // the origin's do: hits and joins are served as ever; what surely misses is filled within the limit or
-        // turned back. Guards the link, the parents and the origin, whatever made them late.
+        // While fills come late, a view is first sent without one, or with only what the parent holds where
+        // just the origin's do: hits and joins are served as ever; what surely misses is filled within the
+        // limit or turned back. Guards the link, the parents and the origin, whatever made them late.
         let [near, far] = [0, 1].map(|far| self.fill_crowd(held, far));
         // Where notes do not tell the origin's fills apart, half being quick shows that just those are late.
         let told = self.facts.get("notes").is_some_and(|notes| notes.word() == "all");
@@ -901,8 +903,8 @@
                 self.easy[asked.offering as usize].add(took);
             }
         }
-        // What a bad client asks is an error at every cache, and says nothing of them: errors count once another
-        // dispatch of the view is done. Could harm where none ever is, as then none is left out.
+        // What a bad client asks is an error at every cache, and says nothing of them: errors count once
+        // another dispatch of the view is done. Could harm where none ever is, as then none is left out.
         let errors: Vec<Dispatch> = self.held(no).into_iter().flat_map(Held::errors).copied().collect();
         for failed in errors.into_iter().filter(|_| verdict == Verdict::Done) {
             self.learn(failed.cache, failed.source, &asked, ERROR);
--- a/src/host.rs
+++ b/src/host.rs
@@ -10,8 +10,9 @@
 pub struct ViewNo(pub u32);
 
 /// A cache's place in the caller's table, in the order of first listing from 0; parents and the origin
-/// have one too. Another may get the number of one that is gone once no view in hand was sent there or with it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// have one too. Another may get the number of one that is gone once no view in hand was sent there or with
+/// it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CacheNo(pub u32);
 
 /// What is known of a deployment at start: names to values, spans in microseconds.
@@ -52,6 +53,8 @@
     pub kb: Option<f32>,
     /// Marked as a client's further try, where clients mark these.
     pub repeat: bool,
+    /// When and where it first may have run for an earlier view of the same mark.
+    pub ran: Option<(Moment, CacheNo)>,
 }
 
 /// One line of the list of caches.
@@ -87,7 +90,7 @@
 }
 
 /// How a dispatch ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Verdict {
     Done,
     Error,
@@ -101,7 +104,7 @@
 }
 
 /// What the cache tells of the way to that end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Note {
     Untold,
     Hit,
@@ -117,7 +120,7 @@
 }
 
 /// How a cache is to treat an object that it may lack.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
     /// Who supplies a miss.
     pub source: CacheNo,
--- a/src/time.rs
+++ b/src/time.rs
@@ -3,11 +3,11 @@
 use std::ops::{Add, Mul, Sub};
 
 /// A point on the caller's monotonic clock.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Moment(u64);
 
 /// A length of time, never negative.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(u64);
 
 impl Moment {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -130,7 +130,8 @@
 
     /// Takes a view for an object, group 9, with so long to answer.
     fn view_within(&mut self, offering: u16, object: u64, millis: u64) -> Vec<Act> {
-        let asked = Asked { object, part: 0, group: 9, offering, kb: self.kb, repeat: self.repeats };
+        let asked =
+            Asked { object, part: 0, group: 9, offering, kb: self.kb, repeat: self.repeats, ran: None };
         self.next += 1;
         self.control.view(ViewNo(self.next), asked, Span::millis(millis));
         self.wait(0)
