Calls and leases of proxies: a table without I/O, checked by a model checker; two fronts on it

Need: branches that keep their front proxies are to get choices from tindoor, with the same module and rules.

crates/calls holds views over several calls, choices that are out, and marks of writes; crates/extproc the messages of Envoy's external processing service and what headers ask and report. The router serves both the service over gRPC (h2 on its one thread) and a plain HTTP/1.1 call from a fronts file; the command line is clap's. Off by default.

--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -33,15 +33,31 @@
     pub ordered: Instant,
 }
 
-/// Where the orders of one view wait for its task.
-#[derive(Default)]
-pub struct Slot {
-    orders: RefCell<VecDeque<Order>>,
+/// Where what is for one task waits for it: the orders of a view, by default.
+pub struct Slot<T = Order> {
+    orders: RefCell<VecDeque<T>>,
     task: Cell<Option<Waker>>,
 }
 
-impl Slot {
-    pub fn put(&self, order: Order) {
+impl<T> Default for Slot<T> {
+    fn default() -> Self {
+        Self { orders: RefCell::default(), task: Cell::default() }
+    }
+}
+
+impl<T> Slot<T> {
+    /// The same in place of all that waits.
+    pub fn put_alone(&self, order: T) {
+        self.orders.borrow_mut().clear();
+        self.put(order);
+    }
+
+    /// Takes what waits, without waiting.
+    pub fn take(&self) -> Option<T> {
+        self.orders.borrow_mut().pop_front()
+    }
+
+    pub fn put(&self, order: T) {
         self.orders.borrow_mut().push_back(order);
         if let Some(task) = self.task.take() {
             task.wake();
@@ -52,7 +68,7 @@
         !self.orders.borrow().is_empty()
     }
 
-    pub async fn next(&self) -> Order {
+    pub async fn next(&self) -> T {
         future::poll_fn(|context| match self.orders.borrow_mut().pop_front() {
             Some(order) => Poll::Ready(order),
             None => {
@@ -64,14 +80,19 @@
     }
 }
 
-/// The ids of the views in hand.
-#[derive(Default)]
+/// The ids of the views in hand, of all fronts.
+#[derive(Clone, Default)]
 pub struct Ids(Rc<RefCell<HashSet<u64>>>);
 
 /// One of them, given back with its view.
 pub struct Id(Rc<RefCell<HashSet<u64>>>, u64);
 
 impl Ids {
+    /// Whether a view of that id is in hand.
+    pub fn has(&self, id: u64) -> bool {
+        self.0.borrow().contains(&id)
+    }
+
     /// None where a view of that id is in hand.
     pub fn take(&self, id: u64) -> Option<Id> {
         self.0.borrow_mut().insert(id).then(|| Id(Rc::clone(&self.0), id))
@@ -122,18 +143,50 @@
     free: Vec<u32>,
     /// By cache, how often it is named by views in hand.
     named: Vec<u32>,
-    wake_at: Option<Instant>,
     alarm: Rc<Alarm>,
 }
 
-/// Tells the task that keeps the module's time of an earlier wake.
+/// The earliest time at which a task is to be woken; it may be set earlier while the task sleeps.
 #[derive(Default)]
-struct Alarm {
+pub struct Alarm {
+    at: Cell<Option<Instant>>,
     earlier: Cell<bool>,
     task: Cell<Option<Waker>>,
 }
 
 impl Alarm {
+    /// Rings then, or earlier.
+    pub fn set(&self, at: Instant) {
+        if self.at.get().is_none_or(|planned| at < planned) {
+            self.at.set(Some(at));
+            self.earlier.set(true);
+            if let Some(task) = self.task.take() {
+                task.wake();
+            }
+        }
+    }
+
+    /// Waits until it rings, which clears it.
+    pub async fn rings(&self) {
+        loop {
+            let Some(at) = self.at.get() else {
+                self.changed().await;
+                continue;
+            };
+            let ring = async {
+                async_io::Timer::at(at).await;
+                true
+            };
+            let changed = async {
+                self.changed().await;
+                false
+            };
+            if future::or(ring, changed).await {
+                return self.at.set(None);
+            }
+        }
+    }
+
     async fn changed(&self) {
         future::poll_fn(|context| {
             if self.earlier.take() {
@@ -191,14 +244,7 @@
     }
 
     fn wake_in(&mut self, wait: Span) {
-        let at = Instant::now() + Duration::from_micros(wait.as_micros());
-        if self.wake_at.is_none_or(|planned| at < planned) {
-            self.wake_at = Some(at);
-            self.alarm.earlier.set(true);
-            if let Some(task) = self.alarm.task.take() {
-                task.wake();
-            }
-        }
+        self.alarm.set(Instant::now() + Duration::from_micros(wait.as_micros()));
     }
 
     /// The change log is followed from the start, whether it is asked for or not.
@@ -291,23 +337,8 @@
     /// Wakes the module whenever it asked for it; never ends.
     pub async fn keep_time(&self) {
         loop {
-            let wake_at = self.control.borrow_mut().host().wake_at;
-            let Some(wake_at) = wake_at else {
-                self.alarm.changed().await;
-                continue;
-            };
-            let ring = async {
-                async_io::Timer::at(wake_at).await;
-                true
-            };
-            let changed = async {
-                self.alarm.changed().await;
-                false
-            };
-            if future::or(ring, changed).await {
-                self.control.borrow_mut().host().wake_at = None;
-                self.tell(Control::wake);
-            }
+            self.alarm.rings().await;
+            self.tell(Control::wake);
         }
     }
 }
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -4,5 +4,5 @@
 mod desk;
 mod life;
 
-pub use desk::{Clock, Decisions, Desk, Dispatch, Id, Ids, Order, Slot};
+pub use desk::{Alarm, Clock, Decisions, Desk, Dispatch, Id, Ids, Order, Slot};
 pub use life::{Answer, Ended, Hand, live};
--- /dev/null
+++ b/crates/extproc/src/ask.rs
@@ -0,0 +1,183 @@
+//! What a proxy's headers ask for and report. Both codecs use it, the external processor's and the plain
+//! call's.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use tindoor::host::{Note, Verdict};
+use tindoor::time::Span;
+use tindoor_calls::{Call, Known, Report};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// What is known of an offering here.
+#[derive(Clone, Debug)]
+pub struct Offering {
+    pub name: String,
+    /// A repeat is told by its mark.
+    pub tagged: bool,
+    /// How long a client waits that says nothing of it.
+    pub cut_off: Duration,
+}
+
+/// Which headers say what, in lower case.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Names {
+    pub path: String,
+    pub ticket: String,
+    /// Hashed for the ticket where that is missing.
+    pub request: String,
+    pub patience: String,
+    /// The patience where that is missing.
+    pub timeout: String,
+    pub mark: String,
+    pub group: String,
+    pub repeat: String,
+    pub attempt: String,
+}
+
+impl Default for Names {
+    fn default() -> Self {
+        let name = str::to_string;
+        Self {
+            path: name(":path"),
+            ticket: name("x-ticket"),
+            request: name("x-request-id"),
+            patience: name("x-max-ms"),
+            timeout: name("x-envoy-expected-rq-timeout-ms"),
+            mark: name("x-nonce"),
+            group: name("x-group"),
+            repeat: name("x-redo"),
+            attempt: name("x-envoy-attempt-count"),
+        }
+    }
+}
+
+/// A header that is missing, twice or can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{header}: {what}")]
+pub struct Fault {
+    pub header: String,
+    pub what: &'static str,
+}
+
+/// The headers of a request or an answer, by lower-case names.
+pub struct Headers<'a>(pub Vec<(&'a str, &'a [u8])>);
+
+impl<'a> Headers<'a> {
+    /// The value of a header: graphic text of bounded length, given once.
+    fn text(&self, name: &str) -> Result<Option<&'a str>, Fault> {
+        let fault = |what| Fault { header: name.to_string(), what };
+        let mut values = self.0.iter().filter(|header| header.0 == name).map(|header| header.1);
+        let Some(value) = values.next() else { return Ok(None) };
+        if values.next().is_some() {
+            return Err(fault("given twice"));
+        }
+        let graphic = !value.is_empty() && value.len() <= 256 && value.iter().all(u8::is_ascii_graphic);
+        std::str::from_utf8(value).ok().filter(|_| graphic).map(Some).ok_or_else(|| fault("no plain text"))
+    }
+
+    /// A whole number: digits alone, and none before them that mean nothing.
+    fn number(&self, name: &str, [least, most]: [u64; 2]) -> Result<Option<u64>, Fault> {
+        let Some(text) = self.text(name)? else { return Ok(None) };
+        let plain = text.bytes().all(|byte| byte.is_ascii_digit()) && (text == "0" || !text.starts_with('0'));
+        let number = text.parse::<u64>().ok().filter(|number| plain && (least..=most).contains(number));
+        number
+            .map(Some)
+            .ok_or_else(|| Fault { header: name.to_string(), what: "no whole number within bounds" })
+    }
+}
+
+/// A strict hexadecimal number of so many digits.
+fn hex(text: &str, digits: usize) -> Option<u128> {
+    let whole = text.len() == digits && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    u128::from_str_radix(text, 16).ok().filter(|_| whole)
+}
+
+/// Reads what is asked; names the header at fault.
+pub fn call(headers: &Headers, names: &Names, offerings: &[Offering]) -> Result<Call, Fault> {
+    let fault = |header: &str, what| Fault { header: header.to_string(), what };
+    let path = headers.text(&names.path)?.ok_or_else(|| fault(&names.path, "missing"))?;
+    let bad_path = |what| fault(&names.path, what);
+    let rest =
+        path.strip_prefix("/v1/store/").ok_or_else(|| bad_path("not /v1/store/OFFERING/OBJECT/PART"))?;
+    let mut parts = rest.split('/');
+    let (Some(route), Some(object), Some(part), None) =
+        (parts.next(), parts.next(), parts.next(), parts.next())
+    else {
+        return Err(bad_path("not /v1/store/OFFERING/OBJECT/PART"));
+    };
+    let offering = offerings.iter().position(|known| known.name == route);
+    let offering = offering.ok_or_else(|| bad_path("an unknown offering"))?;
+    let object = hex(object, 16).ok_or_else(|| bad_path("an object that is not 16 hex digits"))?;
+    let plain = !part.is_empty()
+        && part.bytes().all(|byte| byte.is_ascii_digit())
+        && (part == "0" || !part.starts_with('0'));
+    let part =
+        part.parse::<u32>().ok().filter(|_| plain).ok_or_else(|| bad_path("a part that is no number"))?;
+    let ticket = match (headers.text(&names.ticket)?, headers.text(&names.request)?) {
+        (Some(ticket), _) => hex(ticket, 16).ok_or_else(|| fault(&names.ticket, "not 16 hex digits"))? as u64,
+        (None, Some(request)) => xxh3_64(request.as_bytes()),
+        (None, None) => return Err(fault(&names.ticket, "missing")),
+    };
+    let patience = match headers.number(&names.patience, [1, u64::from(u32::MAX)])? {
+        Some(patience) => Some(patience),
+        None => headers.number(&names.timeout, [1, u64::from(u32::MAX)])?,
+    };
+    let known = &offerings[offering];
+    let left = patience.map_or(Span::micros(known.cut_off.as_micros() as u64), Span::millis);
+    let mark = match headers.text(&names.mark)? {
+        Some(mark) => Some(hex(mark, 32).ok_or_else(|| fault(&names.mark, "not 32 hex digits"))?),
+        None if known.tagged => return Err(fault(&names.mark, "missing")),
+        None => None,
+    };
+    let repeat = match headers.text(&names.repeat)? {
+        None => false,
+        Some("1") => true,
+        Some(_) => return Err(fault(&names.repeat, "not 1")),
+    };
+    Ok(Call {
+        ticket,
+        attempt: headers.number(&names.attempt, [1, 1 << 16])?.unwrap_or(1) as u32,
+        offering: offering as u16,
+        object: object as u64,
+        part,
+        group: headers.number(&names.group, [0, 255])?.unwrap_or(0) as u32,
+        mark: mark.filter(|_| known.tagged),
+        repeat,
+        left,
+    })
+}
+
+/// Reads what the headers of a cache's answer, or of a proxy's own, say of the dispatch.
+pub fn report(headers: &Headers) -> Result<Report, Fault> {
+    let status = headers.number(":status", [100, 999])?;
+    let shed = headers.text("x-shed")? == Some("1");
+    let remark = headers.text("x-remark")?.unwrap_or_default();
+    let used = headers.number("x-tindoor-used-ms", [0, u64::from(u32::MAX)])?;
+    let version = headers.text("x-version")?.and_then(|version| hex(version, 16)).unwrap_or_default() as u64;
+    // What the proxy says itself, where no answer came.
+    let verdict = match headers.text("x-tindoor-failed")? {
+        Some("unreachable") => Verdict::Unreachable,
+        Some("timed-out") => Verdict::TimedOut,
+        Some("broken") => Verdict::Broken,
+        Some("unused") => Verdict::Moot,
+        Some("given-up") => Verdict::CalledOff,
+        Some(_) => return Err(Fault { header: "x-tindoor-failed".into(), what: "an unknown word" }),
+        None => {
+            let status = status.ok_or(Fault { header: ":status".into(), what: "missing" })?;
+            // An answer that no page names may be the proxy's own, of a cache that it did not reach or that
+            // broke off: it may have run, and is not the cache's word.
+            tindoor_http::verdict(status as u16, shed).unwrap_or(match status {
+                502..=504 => Verdict::Broken,
+                _ => Verdict::Error,
+            })
+        }
+    };
+    Ok(Report {
+        verdict,
+        note: tindoor_http::note(remark).unwrap_or(Note::Untold),
+        known: Known { status: status.unwrap_or_default() as u16, version },
+        used_after: used.map(Span::millis),
+    })
+}
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -201,6 +201,15 @@
         self.known.borrow().caches[no.0 as usize].id.clone()
     }
 
+    /// Where it listens; none where its line gave no address.
+    pub fn address(&self, no: CacheNo) -> Option<SocketAddr> {
+        self.known.borrow().caches[no.0 as usize].address
+    }
+
+    pub fn is_ready(&self, no: CacheNo) -> bool {
+        self.known.borrow().caches[no.0 as usize].standing == Standing::Ready
+    }
+
     pub fn outlook(&self, cache: CacheNo, source: Option<CacheNo>) -> Outlook {
         let known = self.known.borrow();
         let life = |no: CacheNo| known.caches[no.0 as usize].life;
--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -26,6 +26,10 @@
     pub locations: Vec<String>,
     pub kinds: Vec<String>,
     pub limits: Limits,
+    /// The shorter of the drain grace and the purge grace.
+    pub grace: Duration,
+    /// The longest window of an offering whose repeats are told by marks.
+    pub window: Duration,
     pub fixed: Fixed,
 }
 
@@ -120,7 +124,13 @@
     let offerings: Vec<Offering> = classes.iter().enumerate().map(offering).collect::<Result<_>>()?;
     ensure!(!offerings.is_empty(), "{path}: empty");
     let rules = settings.at("rules")?;
-    rules.number("drain_grace", [0, u64::MAX], None)?;
+    let drain_grace = rules.number("drain_grace", [0, u64::MAX], None)?;
+    let purge_grace = match settings.find("family_info").0 {
+        Some(_) => settings.at("family_info")?.number("heed_within", [0, u64::MAX], Some(drain_grace))?,
+        None => drain_grace,
+    };
+    let windows = classes.iter().filter_map(|class| class.get("window").and_then(Value::as_u64));
+    let window = Duration::from_micros(windows.max().unwrap_or_default().min(3_600_000_000));
     let warm_within = rules.number("warm_within", [0, 3_600_000_000], Some(20_000_000))?;
     let locations = settings.words("zones")?;
     settings.number("zone", [0, locations.len().saturating_sub(1) as u64], None)?;
@@ -162,6 +172,8 @@
         locations,
         kinds: settings.words("flavors")?,
         limits: Limits::of(machine),
+        grace: Duration::from_micros(drain_grace.min(purge_grace)),
+        window,
         fixed: Fixed(fixed.map(|(key, value)| (key.clone(), value.clone())).collect()),
     })
 }
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -148,6 +148,10 @@
     }
     let form = if fleet.complete { ListForm::Whole } else { ListForm::Changes };
     router.decisions.tell(|control| control.listed(form, &lines));
+    let ready = |no| router.caches.is_ready(no);
+    router
+        .choices
+        .told(|_, choice| !ready(choice.cache) || choice.terms.is_some_and(|terms| !ready(terms.source)));
 }
 
 fn purged(router: &Router, purge: &Purge) {
@@ -162,6 +166,10 @@
     let now: Moment = router.decisions.clock.now();
     let ago = now.since(Clock::unix_ms(purge.time));
     router.decisions.tell(|control| control.purged(object, group, ago));
+    router.choices.told(|call, _| match object {
+        Some(object) => call.object == object,
+        None => call.group == group,
+    });
 }
 
 /// A cache's id as a number that is the same at every router (FNV-1a).
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -6,6 +6,8 @@
 
 use async_io::Timer;
 use futures_lite::future;
+use tindoor::time::Span;
+use tindoor_calls::Bounds;
 
 /// What the configuration says of the machine and of the connections.
 #[derive(Clone, Copy, Debug, Default)]
@@ -91,6 +93,30 @@
     pub look_again: Duration,
     /// How often idle connections are looked through.
     pub sweep: Duration,
+    /// Connections of proxies that call for each request, at once.
+    pub proxies: usize,
+    /// Calls open on one of them.
+    pub streams: usize,
+    /// The longest list of headers on it, and the longest message.
+    pub header_list: usize,
+    pub message: usize,
+    /// How many calls a proxy may reset before they are taken, and how many reset ones are remembered.
+    pub resets: usize,
+    /// What may wait on one call for its proxy to open a window.
+    pub unsent: usize,
+    /// How long a connection of a proxy may rest.
+    pub proxy_idle: Duration,
+    /// How long a choice may lie at a proxy before its use, at most.
+    pub use_within: Duration,
+    /// How long after its time a choice may be reported.
+    pub report_within: Duration,
+    /// How long a view is kept for the next call of it.
+    pub again_within: Duration,
+    /// Marks of writes, and tickets of views that are over, known at once.
+    pub marks: usize,
+    pub over: usize,
+    /// Calls that wait for the end of one mark.
+    pub waiters: usize,
 }
 
 impl Limits {
@@ -132,6 +158,37 @@
             farewell: Duration::from_millis(200),
             look_again: Duration::from_millis(10),
             sweep: Duration::from_secs(1),
+            proxies: (client_connections / 4).max(1),
+            streams: 1 << 10,
+            header_list: 16 << 10,
+            message: 64 << 10,
+            resets: 64,
+            unsent: 16 << 10,
+            proxy_idle: Duration::from_secs(60),
+            use_within: Duration::from_millis(200),
+            report_within: Duration::from_millis(250),
+            again_within: Duration::from_millis(250),
+            marks: 1 << 17,
+            over: 1 << 17,
+            waiters: 8,
+        }
+    }
+
+    /// Those of the table of calls, with the shortest grace and the longest window of the deployment. A
+    /// choice that is given just before a drain or purge is told must be used within half the grace: the
+    /// other half is for what is told to reach this router.
+    pub fn calls(&self, grace: Duration, window: Duration) -> Bounds {
+        let span = |time: Duration| Span::micros(time.as_micros() as u64);
+        Bounds {
+            views: self.open_views,
+            marks: self.marks,
+            over: self.over,
+            waiters: self.waiters,
+            use_within: span(self.use_within.min(grace / 2)),
+            report_within: span(self.report_within),
+            again_within: span(self.again_within),
+            window: span(window),
+            longest: span(self.patience),
         }
     }
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,12 +1,18 @@
 //! tindoor on sockets: starts the router, and heeds signals: to read its configuration again, and to end.
 
 mod caches;
+mod choices;
 mod client;
 mod clients;
+mod command;
 mod configuration;
 mod feed;
+mod fronts;
 mod limits;
+mod places;
+mod processor;
 mod router;
+mod subrequests;
 mod view;
 
 use std::cell::{Cell, RefCell};
@@ -25,17 +31,31 @@
 use futures_lite::StreamExt;
 
 use caches::{Budget, Caches};
+use choices::Choices;
+use clap::Parser;
+use command::{Deed, Files, Line, LogFormat};
 use configuration::{Deployment, Fixed};
+use fronts::Fronts;
 use limits::Seldom;
 use router::Router;
 use tindoor_changelog::Place;
 use tindoor_desk::{Decisions, Ids};
 
 fn main() -> ExitCode {
+    let line = Line::parse();
     let level = std::env::var("TINDOOR_LOG").ok().and_then(|level| level.parse().ok());
     let level = level.unwrap_or(tracing::level_filters::LevelFilter::INFO);
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level).init();
-    match start() {
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_max_level(level);
+    match line.log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+    let done = match line.deed {
+        Some(Deed::Check(files)) => read(&files).map(|_| println!("ok")),
+        Some(Deed::Serve(files)) => start(files),
+        None => start(line.files),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             tracing::error!("{what:#}");
@@ -44,36 +64,73 @@
     }
 }
 
-fn start() -> Result<()> {
-    let path = std::env::args_os().nth(1).or_else(|| std::env::var_os("PROXY_CONFIG"));
-    let path = path.context("no configuration: name its file as argument or in PROXY_CONFIG")?;
-    let deployment = read(&path)?;
+fn start(files: Files) -> Result<()> {
+    let (deployment, fronts) = read(&files)?;
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(run(Rc::clone(&executor), path, deployment)))
+    async_io::block_on(executor.run(run(Rc::clone(&executor), files, deployment, fronts)))
+}
+
+fn read(files: &Files) -> Result<(Deployment, Fronts)> {
+    let path =
+        files.configuration().context("no configuration: name its file as argument or in PROXY_CONFIG")?;
+    let deployment = read_configuration(&path)?;
+    let fronts = match &files.fronts {
+        Some(path) => {
+            let text = std::fs::read(path).with_context(|| format!("fronts {}", path.display()))?;
+            fronts::read(&text).with_context(|| format!("fronts {}", path.display()))?
+        }
+        None => Fronts::default(),
+    };
+    Ok((deployment, fronts))
 }
 
-fn read(path: &OsString) -> Result<Deployment> {
+fn read_configuration(path: &OsString) -> Result<Deployment> {
     let text = std::fs::read(path).with_context(|| format!("configuration {}", path.display()))?;
     configuration::read(&text).context("configuration")
 }
 
-async fn run(executor: Rc<LocalExecutor<'static>>, path: OsString, deployment: Deployment) -> Result<()> {
+async fn run(
+    executor: Rc<LocalExecutor<'static>>,
+    files: Files,
+    deployment: Deployment,
+    fronts: Fronts,
+) -> Result<()> {
     // Heeded from the first moment on: unheeded, each of them ends the process.
     let hangups = Signals::new([Signal::Hup]).context("signals")?;
     let mut ends = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
-    let Deployment { name, listen, seed, limits, .. } = deployment;
+    let path = files.configuration().unwrap_or_default();
+    let Deployment { name, listen, seed, mut limits, .. } = deployment;
+    if fronts.external_processing.is_some() || fronts.call.is_some() {
+        // Proxies' connections come out of the clients' share.
+        limits.client_connections = limits.client_connections.saturating_sub(limits.proxies).max(1);
+    }
     // For pauses between connections only; the module draws from a seed of its own.
     fastrand::seed(seed);
     let decisions =
         Decisions::start(deployment.facts, seed).map_err(|fact| anyhow::anyhow!("settings: {fact}"))?;
+    let (decisions, ids) = (Rc::new(decisions), Ids::default());
+    let choices = Choices::new(
+        Rc::clone(&executor),
+        Rc::clone(&decisions),
+        ids.clone(),
+        limits.open_views,
+        limits.calls(deployment.grace, deployment.window),
+    );
+    let asked = deployment.offerings.iter().map(|offering| tindoor_extproc::ask::Offering {
+        name: offering.name.clone(),
+        tagged: offering.tagged,
+        cut_off: offering.cut_off,
+    });
     let router = Rc::new(Router {
         executor: Rc::clone(&executor),
         limits,
+        asked: asked.collect(),
+        choices,
         offerings: deployment.offerings,
         locations: deployment.locations,
         kinds: deployment.kinds,
         decisions,
-        ids: Ids::default(),
+        ids,
         caches: Caches::new(limits),
         budget: Budget::new(limits.buffered),
         unwritten: Rc::default(),
@@ -89,8 +146,24 @@
     let followed = (deployment.changelog, feed);
     executor.spawn(reload(Rc::clone(&router), hangups, path, deployment.fixed, followed)).detach();
     executor.spawn(clients::accept(Rc::clone(&router), listener)).detach();
+    let bind = |key: &str, listen: SocketAddr| -> Result<Async<TcpListener>> {
+        let bound = Async::<TcpListener>::bind(listen).with_context(|| format!("{key}.listen: {listen}"))?;
+        let bound_to = bound.get_ref().local_addr().context("listen")?;
+        tracing::info!(front = key, at = %bound_to, "listening");
+        Ok(bound)
+    };
+    if let Some(front) = fronts.external_processing {
+        let listener = bind("external_processing", front.listen)?;
+        executor.spawn(processor::accept(Rc::clone(&router), listener, Rc::new(front.headers))).detach();
+    }
+    if let Some(front) = fronts.call {
+        let listener = bind("call", front.listen)?;
+        executor.spawn(subrequests::accept(Rc::clone(&router), listener, Rc::new(front.headers))).detach();
+    }
     let timed = Rc::clone(&router);
     executor.spawn(async move { timed.decisions.keep_time().await }).detach();
+    let timed = Rc::clone(&router);
+    executor.spawn(async move { timed.choices.keep_time().await }).detach();
     let swept = Rc::clone(&router);
     let sweep = async move {
         loop {
@@ -115,7 +188,7 @@
     (mut address, mut feed): (SocketAddr, Task<Infallible>),
 ) {
     while hangups.next().await.is_some() {
-        let deployment = match read(&path) {
+        let deployment = match read_configuration(&path) {
             Ok(deployment) => deployment,
             Err(what) => {
                 tracing::error!("not reloaded, the old configuration stays: {what:#}");
@@ -150,5 +223,5 @@
     while busy() && end.elapsed() < router.limits.farewell {
         Timer::after(router.limits.look_again).await;
     }
-    tracing::info!("stopped");
+    tracing::info!(calls = ?router.choices.figures(), "stopped");
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,8 +7,10 @@
 use async_executor::LocalExecutor;
 use tindoor_changelog::Place;
 use tindoor_desk::{Decisions, Ids};
+use tindoor_extproc::ask::Offering as Asked;
 
 use crate::caches::{Budget, Caches};
+use crate::choices::Choices;
 use crate::configuration::Offering;
 use crate::limits::{Limits, Seldom};
 
@@ -17,9 +19,12 @@
     pub executor: Rc<LocalExecutor<'static>>,
     pub limits: Limits,
     pub offerings: Vec<Offering>,
+    /// The same as proxies' headers are read.
+    pub asked: Vec<Asked>,
     pub locations: Vec<String>,
     pub kinds: Vec<String>,
-    pub decisions: Decisions,
+    pub decisions: Rc<Decisions>,
+    pub choices: Rc<Choices>,
     pub ids: Ids,
     pub caches: Caches,
     pub budget: Rc<Budget>,
