The lab: stand-in proxies with a stock gRPC client, faults, and an audit with teeth

Need: the external processor is trusted once a stand-in proxy shows one final answer a view and no repeated save.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run demo
 
 build:
 	cargo build --release
@@ -13,3 +13,8 @@
 # The router by itself: it answers `health`, and turns every view back, as its example lists no caches.
 run: build
 	target/release/tindoor deploy/example.json
+
+# A router, stand-in caches and a client on loopback: views served, and a table of what came of them.
+demo:
+	cargo build -p tindoor-router -p tindoor-lab
+	target/debug/tindoor-lab demo
--- /dev/null
+++ b/crates/lab/src/demo.rs
@@ -0,0 +1,50 @@
+//! A router, stand-in caches and clients of the platform's front: views served, and what came of them.
+
+use std::time::Instant;
+
+use anyhow::Result;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+
+use crate::figures::Figures;
+use crate::fleet::Fleet;
+use crate::stand_in::{Client, FRESH, Reply, Router, Start, call, configuration};
+
+pub fn run(seed: u64, views: u64, seconds: u64) -> Result<Figures> {
+    let mut fleet = Fleet::start(4);
+    let start = Start { log: Some("info"), ..Start::default() };
+    let router = Router::start_with(&configuration(fleet.log.address, fleet.members()), &start);
+    fleet.log.asks(1);
+    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    let mut client = Client::connect(&router);
+    let (mut figures, begun) = (Figures::default(), Instant::now());
+    for nth in 0..views {
+        if begun.elapsed().as_secs() >= seconds {
+            break;
+        }
+        if nth == views / 2 {
+            fleet.drain(0);
+            fleet.purge("0000000000001001");
+        }
+        let object = format!("{:016x}", 0x1000 + (60.0 * chance.random::<f64>().powi(2)) as u64);
+        let fields = [("route", "pages"), ("trace", FRESH), ("patience", "3000"), ("entity", &object)];
+        let fields = [&fields[..], &[("chunk", "0"), ("tag", "17")]].concat();
+        client.send(&call(nth as i32 + 1, &fields, b""));
+        figures.views += 1;
+        match client.next() {
+            Some((seq, Reply::Served { .. })) if seq == nth as i32 + 1 => figures.done += 1,
+            Some((seq, Reply::TurnedBack(_))) if seq == nth as i32 + 1 => figures.turned_back += 1,
+            Some((seq, _)) if seq == nth as i32 + 1 => figures.written_off += 1,
+            Some(_) => figures.answered_twice += 1,
+            None => {
+                figures.answered_none += 1;
+                break;
+            }
+        }
+    }
+    figures.more.insert("seconds".into(), json!(begun.elapsed().as_secs_f64()));
+    fleet.audit(&mut figures);
+    figures.judge(8, 0);
+    Ok(figures)
+}
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,213 @@
+//! A fleet of stand-in caches with copies, fills, drains and purges, and the record that the audit reads.
+//! What is recorded is what the caches saw; the rules' times are reckoned from when the change log was told.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde_json::{Value, json};
+
+use crate::figures::Figures;
+use crate::stand_in::{Cache, ChangeLog, Deed, Seen, answer, member};
+
+/// The graces of the configuration, and what is added on sockets.
+const GRACE: Duration = Duration::from_millis(550);
+const WINDOW: Duration = Duration::from_secs(3);
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+#[derive(Default)]
+struct Record {
+    dispatches: HashMap<String, u64>,
+    /// When each mark was run to its end.
+    runs: HashMap<String, Vec<Instant>>,
+    /// Copies that caches hold: when they were fetched.
+    copies: HashMap<(usize, String), Instant>,
+    purges: HashMap<String, Instant>,
+    /// Caches by id, from when they were told to drain or be gone.
+    drained: HashMap<String, Instant>,
+    dead: Vec<usize>,
+    sent_after_drain: u64,
+    served_after_purge: u64,
+    repeated: u64,
+    sends: u64,
+    fills: u64,
+}
+
+/// Caches, parents and an origin, told to routers by one change log.
+pub struct Fleet {
+    pub log: ChangeLog,
+    record: Arc<Mutex<Record>>,
+    caches: Vec<(String, Cache, &'static str)>,
+    seq: u64,
+    /// All that was told, from the whole list of the start on.
+    events: Vec<Value>,
+}
+
+/// How a cache treats a request.
+fn treat(record: &Arc<Mutex<Record>>, no: usize, id: &str, kind: &str, seen: &Seen) -> Deed {
+    let now = Instant::now();
+    let header = |name: &str| seen.headers.get(name).cloned();
+    let path = seen.line.split(' ').nth(1).unwrap_or_default().to_string();
+    let mut parts = path.trim_start_matches("/v1/store/").split('/');
+    let (offering, object) = (parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
+    let mut locked = record.lock().unwrap();
+    locked.sends += 1;
+    *locked.dispatches.entry(header("x-ticket").unwrap_or_default()).or_default() += 1;
+    let mut named = vec![id.to_string()];
+    named.extend(header("x-source"));
+    let late = |id: &String| locked.drained.get(id).is_some_and(|told| now > *told + GRACE);
+    if named.iter().any(late) {
+        locked.sent_after_drain += 1;
+    }
+    if locked.dead.contains(&no) {
+        return Deed::Reset;
+    }
+    // Some objects fail wherever they are asked for.
+    if object.starts_with("ee") {
+        return Deed::Say(answer(500, "", b""));
+    }
+    if let Some(mark) = header("x-nonce").filter(|_| offering == "saves") {
+        // The record of a write is made at its end: two that run at once both run.
+        let known = locked.runs.get(&mark).and_then(|runs| runs.last()).is_some_and(|at| now - *at < WINDOW);
+        if known {
+            return Deed::Say(saved());
+        }
+        let record = Arc::clone(record);
+        let run = move |waits: bool| {
+            let mut locked = record.lock().unwrap();
+            // Closing the connection gives the request up: it is undone.
+            if waits {
+                let now = Instant::now();
+                let runs = locked.runs.entry(mark.clone()).or_default();
+                let again = runs.last().is_some_and(|last| now - *last < WINDOW);
+                runs.push(now);
+                locked.repeated += u64::from(again);
+            }
+            saved()
+        };
+        return Deed::Run(Duration::from_millis(15), Arc::new(run));
+    }
+    let fresh = Duration::from_secs(8);
+    let most = header("x-accept-age").and_then(|age| age.parse().ok()).filter(|age| *age > 0);
+    let most = most.map_or(fresh, Duration::from_millis).min(fresh);
+    let key = (no, path.clone());
+    let held = locked.copies.get(&key).copied().filter(|fetched| now - *fetched <= most);
+    let (remark, fetched) = match held {
+        Some(fetched) => ("warm", fetched),
+        None if header("x-source").is_none() && kind == "cache" => return Deed::Say(answer(404, "", b"")),
+        None => {
+            locked.fills += 1;
+            locked.copies.insert(key, now);
+            ("fill", now)
+        }
+    };
+    let purged = locked.purges.get(object).copied();
+    if purged.is_some_and(|purged| fetched < purged && now > purged + GRACE) {
+        locked.served_after_purge += 1;
+    }
+    let date = unix_ms() - (now - fetched).as_millis() as u64;
+    let headers = format!("X-Remark: {remark}\r\nX-Version: 4be0c1927d55a6f3\r\nX-Origin-Date: {date}\r\n");
+    Deed::Say(answer(200, &headers, path.as_bytes()))
+}
+
+fn saved() -> Vec<u8> {
+    answer(200, "X-Remark: deep_fill\r\nX-Version: 4be0c1927d55a6f3\r\n", b"saved")
+}
+
+impl Fleet {
+    /// So many caches, two parents and an origin.
+    pub fn start(caches: usize) -> Self {
+        let log = ChangeLog::start();
+        let mut fleet = Self { log, record: Arc::default(), caches: Vec::new(), seq: 1, events: Vec::new() };
+        for _ in 0..caches {
+            fleet.add("cache");
+        }
+        for kind in ["parent", "parent", "origin"] {
+            fleet.add(kind);
+        }
+        let whole = json!({"revision": 1, "complete": true, "members": fleet.members()});
+        fleet.events.push(json!({"seq": 1, "fleet": whole}));
+        fleet
+    }
+
+    fn add(&mut self, kind: &'static str) -> usize {
+        let (no, record) = (self.caches.len(), Arc::clone(&self.record));
+        let id = format!("{}-{no}", &kind[..1]);
+        let own = id.clone();
+        let cache = Cache::start(move |seen| treat(&record, no, &own, kind, seen));
+        self.caches.push((id, cache, kind));
+        no
+    }
+
+    /// All members as the list has them at the start.
+    pub fn members(&self) -> Vec<Value> {
+        let member =
+            |(id, cache, kind): &(String, Cache, &'static str)| member(id, cache.address, kind, "active");
+        self.caches.iter().map(member).collect()
+    }
+
+    /// What a router that starts now is told in its configuration.
+    pub fn known(&self) -> Value {
+        json!({"seq": self.seq, "results": self.events})
+    }
+
+    fn tell(&mut self, mut event: Value) {
+        self.seq += 1;
+        event["seq"] = json!(self.seq);
+        self.log.say(&format!("{event}\n"));
+        self.log.stands_at(self.seq);
+        self.events.push(event);
+    }
+
+    /// Tells of a member's phase; drained and gone ones are recorded from now on.
+    fn phase(&mut self, no: usize, phase: &str) {
+        let (id, cache, kind) = &self.caches[no];
+        let mut line = member(id, cache.address, kind, phase);
+        if phase == "active" {
+            line["up_since_ms"] = json!(unix_ms());
+        } else {
+            self.record.lock().unwrap().drained.entry(id.clone()).or_insert_with(Instant::now);
+        }
+        self.tell(json!({"fleet": {"revision": self.seq, "complete": false, "members": [line]}}));
+    }
+
+    pub fn drain(&mut self, no: usize) {
+        self.phase(no, "leaving");
+    }
+
+    /// The drained cache is gone, and a new one comes up cold.
+    pub fn replace(&mut self, no: usize) -> usize {
+        self.phase(no, "left");
+        let new = self.add("cache");
+        self.phase(new, "active");
+        new
+    }
+
+    pub fn purge(&mut self, object: &str) {
+        self.record.lock().unwrap().purges.insert(object.to_string(), Instant::now());
+        self.tell(json!({"invalidate": {"object": object, "time": unix_ms()}}));
+    }
+
+    /// Resets whatever is asked of it, or no longer does.
+    pub fn die(&self, no: usize, dead: bool) {
+        let mut record = self.record.lock().unwrap();
+        record.dead.retain(|known| *known != no);
+        if dead {
+            record.dead.push(no);
+        }
+    }
+
+    /// What the caches saw.
+    pub fn audit(&self, figures: &mut Figures) {
+        let record = self.record.lock().unwrap();
+        figures.saves_repeated = record.repeated;
+        figures.most_dispatches = record.dispatches.values().copied().max().unwrap_or_default();
+        figures.sent_after_drain = record.sent_after_drain;
+        figures.served_after_purge = record.served_after_purge;
+        figures.more.insert("dispatches".into(), json!(record.sends));
+        figures.more.insert("fills".into(), json!(record.fills));
+    }
+}
--- a/crates/router/tests/stand_in/mod.rs
+++ b/crates/lab/src/stand_in.rs
@@ -72,8 +72,12 @@
     Hang,
     /// The answer comes once the test lets it go.
     Once(Watched<bool>, Vec<u8>),
+    /// It runs for so long; then, told whether its router still waits, it says what came of it.
+    Run(Duration, Running),
 }
 
+type Running = Arc<dyn Fn(bool) -> Vec<u8> + Send + Sync>;
+
 pub fn answer(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
     let head = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
     [head.as_bytes(), body].concat()
@@ -153,6 +157,14 @@
                 }
                 Deed::Reset => return SockRef::from(&writer).set_linger(Some(Duration::ZERO)),
                 Deed::Hang => return reader.read(&mut [0]).map(drop),
+                Deed::Run(time, run) => {
+                    thread::sleep(time);
+                    writer.set_nonblocking(true)?;
+                    let waits = !matches!(writer.peek(&mut [0]), Ok(0))
+                        && !writer.peek(&mut [0]).is_err_and(|e| e.kind() != std::io::ErrorKind::WouldBlock);
+                    writer.set_nonblocking(false)?;
+                    writer.write_all(&run(waits))?;
+                }
                 Deed::Once(gate, bytes) => {
                     gate.wait("the test to let an answer go", |open| open.then_some(()));
                     writer.write_all(&bytes)?;
@@ -217,6 +229,11 @@
             .wait("the router to ask the change log", |asked| (asked.len() >= count).then(|| asked.clone()))
     }
 
+    /// The number that the next beat tells, once everything before it is said.
+    pub fn stands_at(&self, number: u64) {
+        self.beat.change(|beat| *beat = Some(number));
+    }
+
     pub fn say(&self, text: &str) {
         self.latest.wait("a connection", |stream| stream.as_mut().map(|s| s.write_all(text.as_bytes()).ok()));
     }
@@ -269,18 +286,50 @@
     file: PathBuf,
 }
 
-/// Starts the program with this configuration text, and perhaps fewer descriptors than it expects.
-fn spawn(text: &str, descriptors: Option<u32>) -> (Child, PathBuf) {
+/// How the program is started.
+#[derive(Clone, Debug, Default)]
+pub struct Start {
+    /// Fewer descriptors than it expects.
+    pub descriptors: Option<u32>,
+    /// Its fronts file.
+    pub fronts: Option<Value>,
+    /// A guard that is taken out; a build for tests only knows how.
+    pub without: Option<String>,
+    /// What it logs; `debug` where a test reads it.
+    pub log: Option<&'static str>,
+}
+
+/// The program: what TINDOOR_PROGRAM names, else what was built beside whoever runs now.
+pub fn program() -> PathBuf {
+    if let Some(named) = std::env::var_os("TINDOOR_PROGRAM") {
+        return named.into();
+    }
+    let own = std::env::current_exe().expect("a path of its own");
+    let beside = own.ancestors().skip(1).take(2).map(|folder| folder.join("tindoor"));
+    beside.into_iter().find(|path| path.is_file()).expect("tindoor is built: cargo build -p tindoor-router")
+}
+
+/// Starts the program with this configuration text.
+fn spawn(text: &str, start: &Start) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let unique = format!("tindoor-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     let file = std::env::temp_dir().join(unique);
     std::fs::write(&file, text).unwrap();
-    let limit = descriptors.map_or(String::new(), |descriptors| format!("ulimit -n {descriptors}; "));
+    let limit = start.descriptors.map_or(String::new(), |descriptors| format!("ulimit -n {descriptors}; "));
+    let mut fronts = String::new();
+    if let Some(value) = &start.fronts {
+        let path = file.with_extension("fronts");
+        std::fs::write(&path, value.to_string()).unwrap();
+        fronts = format!(" serve --fronts '{}'", path.display());
+    }
     let mut command = Command::new("sh");
-    command.arg("-c").arg(format!("{limit}exec '{}'", env!("CARGO_BIN_EXE_tindoor")));
+    command.arg("-c").arg(format!("{limit}exec '{}'{fronts}", program().display()));
+    if let Some(without) = &start.without {
+        command.env("TINDOOR_WITHOUT", without);
+    }
     let child = command
         .env("PROXY_CONFIG", &file)
-        .env("TINDOOR_LOG", "debug")
+        .env("TINDOOR_LOG", start.log.unwrap_or("debug"))
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
@@ -289,7 +338,7 @@
 
 /// Runs the program with a configuration that it can't use: how it ended and what it said.
 pub fn fails_with(text: &str) -> (ExitStatus, String) {
-    let (child, file) = spawn(text, None);
+    let (child, file) = spawn(text, &Start::default());
     let output = child.wait_with_output().unwrap();
     let _ = std::fs::remove_file(file);
     (output.status, String::from_utf8(output.stderr).unwrap())
@@ -297,11 +346,11 @@
 
 impl Router {
     pub fn start(configuration: &Value) -> Self {
-        Self::start_with(configuration, None)
+        Self::start_with(configuration, &Start::default())
     }
 
-    pub fn start_with(configuration: &Value, descriptors: Option<u32>) -> Self {
-        let (mut child, file) = spawn(&configuration.to_string(), descriptors);
+    pub fn start_with(configuration: &Value, start: &Start) -> Self {
+        let (mut child, file) = spawn(&configuration.to_string(), start);
         let (log, lines) = (Watched::<Vec<String>>::default(), BufReader::new(child.stderr.take().unwrap()));
         let logged = log.clone();
         thread::spawn(move || {
@@ -314,6 +363,15 @@
         Self { child, address, log, file }
     }
 
+    /// Where a front of the fronts file listens.
+    pub fn front(&self, key: &str) -> SocketAddr {
+        let named = format!("front=\"{key}\"");
+        self.log.wait("a front to listen", |log| {
+            let line = log.iter().find(|line| line.contains(&named))?;
+            line.split_once("at=")?.1.trim().parse().ok()
+        })
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -352,6 +410,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(self.file.with_extension("fronts"));
     }
 }
 
--- /dev/null
+++ b/crates/router/tests/called.rs
@@ -0,0 +1,219 @@
+//! Proxies that call the router for each request: the experiment with its faults, each guard seen to be
+//! needed, and what a peer may do to the protocol.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde_json::json;
+use tindoor_lab::called::{self, Plan};
+use tindoor_lab::figures::Figures;
+use tindoor_lab::stand_in::*;
+
+fn experiment(seed: u64, views: u64, faults: &str, without: Option<&str>) -> Figures {
+    let (faults, without) = (Plan::faults(faults).unwrap(), without.map(str::to_string));
+    called::run(&Plan { seed, views, seconds: 60, faults, without, clients: 24 }).unwrap()
+}
+
+fn clean(figures: &Figures) {
+    assert_eq!(figures.rules_broken, 0, "{}", figures.table());
+    assert!(figures.done > figures.views / 2, "{}", figures.table());
+}
+
+#[test]
+fn a_stock_client_of_the_published_service_gets_every_view_served() {
+    let figures = experiment(1, 400, "", None);
+    clean(&figures);
+    assert_eq!(figures.done, figures.views, "{}", figures.table());
+}
+
+#[test]
+fn with_all_faults_mixed_every_view_has_one_answer_and_no_save_is_repeated() {
+    clean(&experiment(3, 900, "all", None));
+}
+
+#[test]
+fn without_the_guard_on_marks_a_save_is_repeated() {
+    let figures = experiment(2, 600, "ask-twice", Some("marks"));
+    assert!(figures.saves_repeated > 0 && figures.rules_broken > 0, "{}", figures.table());
+    clean(&experiment(2, 600, "ask-twice", None));
+}
+
+#[test]
+fn without_the_guard_on_tickets_a_view_has_more_than_eight_dispatches() {
+    let figures = experiment(2, 600, "fail", Some("tickets"));
+    assert!(figures.most_dispatches > 8 && figures.rules_broken > 0, "{}", figures.table());
+    clean(&experiment(2, 600, "fail", None));
+}
+
+#[test]
+fn without_taking_back_what_has_not_left_a_drained_cache_is_still_sent_to() {
+    let figures = experiment(2, 900, "window,drain", Some("withdraw"));
+    assert!(figures.sent_after_drain > 0 && figures.rules_broken > 0, "{}", figures.table());
+    clean(&experiment(2, 900, "window,drain", None));
+}
+
+#[test]
+fn without_an_end_to_leases_a_stream_on_which_nothing_is_reported_stays() {
+    let figures = experiment(2, 300, "silent", Some("leases"));
+    assert!(
+        figures.more["streams_left"].as_u64() > Some(0) && figures.rules_broken > 0,
+        "{}",
+        figures.table()
+    );
+    clean(&experiment(2, 300, "silent", None));
+}
+
+/// A router with both fronts, and one cache.
+struct World {
+    _log: ChangeLog,
+    cache: Cache,
+    router: Router,
+}
+
+fn world() -> World {
+    let (cache, log) = (Cache::start(|_| Deed::Say(served(b"x"))), ChangeLog::start());
+    let origin = Cache::start(|_| Deed::Hang);
+    let members = vec![
+        member("c-1", cache.address, "cache", "active"),
+        member("o-1", origin.address, "origin", "active"),
+    ];
+    let listen = json!({"listen": "127.0.0.1:0"});
+    let fronts = Some(json!({"external_processing": listen, "call": listen}));
+    let start = Start { fronts, ..Start::default() };
+    let router = Router::start_with(&configuration(log.address, members), &start);
+    World { _log: log, cache, router }
+}
+
+/// A caller of the plain call.
+struct Caller(TcpStream);
+
+impl Caller {
+    fn connect(at: SocketAddr) -> Self {
+        let stream = TcpStream::connect(at).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+        Self(stream)
+    }
+
+    /// The head of the answer.
+    fn ask(&mut self, head: &str) -> String {
+        self.0.write_all(head.as_bytes()).unwrap();
+        let (mut answer, mut byte) = (Vec::new(), [0]);
+        while !answer.ends_with(b"\r\n\r\n") {
+            self.0.read_exact(&mut byte).unwrap();
+            answer.push(byte[0]);
+        }
+        String::from_utf8(answer).unwrap()
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let line = head.lines().find(|line| line.starts_with(&format!("{name}: ")))?;
+    Some(line.split_at(name.len() + 2).1)
+}
+
+const SAVE: &str = "x-nonce: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+
+#[test]
+fn the_plain_call_gives_the_same_choice_and_takes_the_report() {
+    let world = world();
+    let mut caller = Caller::connect(world.router.front("call"));
+    let ask = format!("GET /v1/store/pages/{OBJECT}/3 HTTP/1.1\r\nx-ticket: 00000000000000a1\r\n\r\n");
+    let choice = caller.ask(&ask);
+    assert!(choice.starts_with("HTTP/1.1 200"), "{choice}");
+    assert_eq!(header(&choice, "x-tindoor-cache"), Some("c-1"));
+    assert_eq!(header(&choice, "x-tindoor-address"), Some(&*world.cache.address.to_string()));
+    assert_eq!(header(&choice, "x-tindoor-use-within-ms"), Some("200"));
+    assert_eq!(header(&choice, "x-source"), Some("o-1"));
+    let lease = header(&choice, "x-tindoor-lease").unwrap();
+    let report = |ticket: &str, lease: &str, status: &str| {
+        format!(
+            "POST /report HTTP/1.1\r\nx-ticket: {ticket}\r\nx-tindoor-lease: {lease}\r\nx-status: {status}\r\n\r\n"
+        )
+    };
+    // Another view's ticket, and a lease that was never given, change nothing.
+    for (ticket, lease) in [("00000000000000a2", lease), ("00000000000000a1", "999999")] {
+        let refused = caller.ask(&report(ticket, lease, "200"));
+        assert_eq!(header(&refused, "x-tindoor-reason"), Some("no-choice"), "{refused}");
+    }
+    assert!(caller.ask(&report("00000000000000a1", lease, "200")).starts_with("HTTP/1.1 204"));
+    let again = caller.ask(&report("00000000000000a1", lease, "200"));
+    assert_eq!(header(&again, "x-tindoor-reason"), Some("no-choice"), "given twice");
+}
+
+#[test]
+fn a_save_asked_for_twice_by_the_plain_call_is_answered_from_its_one_run() {
+    let world = world();
+    let at = world.router.front("call");
+    let save =
+        |ticket| format!("GET /v1/store/saves/{OBJECT}/0 HTTP/1.1\r\nx-ticket: {ticket}\r\n{SAVE}\r\n\r\n");
+    let mut first = Caller::connect(at);
+    let choice = first.ask(&save("00000000000000b1"));
+    let lease = header(&choice, "x-tindoor-lease").unwrap().to_string();
+    let second = std::thread::spawn(move || Caller::connect(at).ask(&save("00000000000000b2")));
+    // It waits in the router, which alone knows of both.
+    let health = |router: &Router| Client::connect(router).healthy(1);
+    assert!(health(&world.router));
+    let names = format!("x-ticket: 00000000000000b1\r\nx-tindoor-lease: {lease}\r\nx-status: 200");
+    let version = "x-version: 4be0c1927d55a6f3";
+    assert!(
+        first
+            .ask(&format!("POST /report HTTP/1.1\r\n{names}\r\n{version}\r\n\r\n"))
+            .starts_with("HTTP/1.1 204")
+    );
+    let known = second.join().unwrap();
+    assert!(known.starts_with("HTTP/1.1 200") && known.contains("x-tindoor-known: 1"), "{known}");
+    assert_eq!(header(&known, "x-version"), Some("4be0c1927d55a6f3"));
+}
+
+#[test]
+fn what_can_not_be_read_is_refused_with_the_header_at_fault() {
+    let world = world();
+    let page = format!("/v1/store/pages/{OBJECT}/3");
+    let ticket = "x-ticket: 00000000000000c1";
+    for (path, headers, fault) in [
+        ("/elsewhere", ticket, ":path"),
+        ("/v1/store/nothing/7f3a9c21e0b4d655/3", ticket, ":path"),
+        ("/v1/store/pages/7f3a9c21e0b4d655/03", ticket, ":path"),
+        ("/v1/store/pages/7f3a9c21e0b4d655/3/4", ticket, ":path"),
+        (&page, "x-other: 1", "x-ticket"),
+        (&page, "x-ticket: 00000000000000c1\r\nx-ticket: 00000000000000c2", "x-ticket"),
+        (&page, "x-ticket: 00000000000000c1\r\nx-max-ms: +5", "x-max-ms"),
+        (&page, "x-ticket: 00000000000000c1\r\nx-group: 256", "x-group"),
+        ("/v1/store/saves/7f3a9c21e0b4d655/0", ticket, "x-nonce"),
+    ] {
+        let mut caller = Caller::connect(world.router.front("call"));
+        let refused = caller.ask(&format!("GET {path} HTTP/1.1\r\n{headers}\r\n\r\n"));
+        assert!(refused.starts_with("HTTP/1.1 400"), "{path} {headers}: {refused}");
+        assert!(header(&refused, "x-tindoor-reason").unwrap().starts_with(fault), "{refused}");
+    }
+    for spoilt in ["what?\r\n\r\n", "GET / HTTP/1.1\r\ncontent-length: 5\r\n\r\nabcde"] {
+        let refused = Caller::connect(world.router.front("call")).ask(spoilt);
+        assert!(refused.starts_with("HTTP/1.1 400") && refused.contains("connection: close"), "{refused}");
+    }
+}
+
+#[test]
+fn a_faulty_fronts_file_is_named_with_line_and_key() {
+    let log = ChangeLog::start();
+    let configuration = configuration(log.address, Vec::new()).to_string();
+    let folder = std::env::temp_dir().join(format!("tindoor-check-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let [named, fronts] = ["configuration.json", "fronts.json"].map(|name| folder.join(name));
+    std::fs::write(&named, configuration).unwrap();
+    let check = |text: &str| {
+        std::fs::write(&fronts, text).unwrap();
+        let mut command = std::process::Command::new(program());
+        command.arg("check").arg(&named).arg("--fronts").arg(&fronts);
+        let output = command.env_remove("PROXY_CONFIG").output().unwrap();
+        let said = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+        (output.status.code(), said)
+    };
+    let good = check(r#"{"call": {"listen": "127.0.0.1:0"}}"#);
+    assert_eq!(good, (Some(0), "ok\n".to_string()));
+    let (code, said) = check("{\n\"call\": {\"listen\": \"nowhere\"}}");
+    assert!(code == Some(1) && said.contains("line 2") && said.contains("call.listen"), "{said}");
+    let (code, said) = check(r#"{"call": {"listen": "127.0.0.1:0", "lisen": 1}}"#);
+    assert!(code == Some(1) && said.contains("lisen"), "{said}");
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -1,7 +1,5 @@
 //! The whole router against stand-ins: one short story for each thing that must work or was met.
 
-mod stand_in;
-
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -9,7 +7,7 @@
 
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
-use stand_in::*;
+use tindoor_lab::stand_in::*;
 
 /// A router with one cache, a parent that nobody needs, and an origin.
 struct World {
@@ -477,7 +475,10 @@
         member("p-1", cache.address, "parent", "active"),
         member("o-1", cache.address, "origin", "active"),
     ];
-    let router = Router::start_with(&configuration(log.address, members), Some(40));
+    let router = Router::start_with(
+        &configuration(log.address, members),
+        &Start { descriptors: Some(40), ..Start::default() },
+    );
     let _idle: Vec<_> = (0..60).map(|_| Client::connect(&router)).collect();
     let mut client = Client::connect(&router);
     for seq in 1..=32 {
