--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -32,7 +32,7 @@
         let fields = [&fields[..], &[("chunk", "0"), ("tag", "17")]].concat();
         client.send(&call(nth as i32 + 1, &fields, b""));
         figures.views += 1;
-        match client.next() {
+        match client.reply_or_end() {
             Some((seq, Reply::Served { .. })) if seq == nth as i32 + 1 => figures.done += 1,
             Some((seq, Reply::TurnedBack(_))) if seq == nth as i32 + 1 => figures.turned_back += 1,
             Some((seq, _)) if seq == nth as i32 + 1 => figures.written_off += 1,
--- a/crates/lab/src/stand_in.rs
+++ b/crates/lab/src/stand_in.rs
@@ -511,11 +511,11 @@
 
     /// The next answer; panics where the connection ends.
     pub fn reply(&mut self) -> (i32, Reply) {
-        self.next().expect("the connection ended")
+        self.reply_or_end().expect("the connection ended")
     }
 
     /// The next answer, or none where the connection ends.
-    pub fn next(&mut self) -> Option<(i32, Reply)> {
+    pub fn reply_or_end(&mut self) -> Option<(i32, Reply)> {
         let mut size = [0; 4];
         self.0.read_exact(&mut size).ok()?;
         let mut message = vec![0; u32::from_be_bytes(size) as usize];
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -515,7 +515,7 @@
     gate.let_go();
     assert_eq!(client.reply(), (1, done(b"late")));
     assert!(world.router.wait().success());
-    assert_eq!(client.next(), None);
+    assert_eq!(client.reply_or_end(), None);
 }
 
 #[test]
@@ -616,7 +616,7 @@
     for bytes in [&[0xff; 4][..], &[0x7f, 0xff, 0xff, 0xff], &[0, 0, 0, 4, 0, 0, 0, 1]] {
         let mut bad = Client::connect(&world.router);
         bad.send(bytes);
-        assert_eq!(bad.next(), None);
+        assert_eq!(bad.reply_or_end(), None);
     }
     other.ask(2, "00000000000000aa");
     assert_eq!(other.reply(), (2, done(b"x")));
@@ -684,8 +684,8 @@
     late.send(&call(2, &page(OBJECT, "3000"), b"")[..30]);
     let mut client = Client::connect(&world.router);
     assert!(client.healthy(1));
-    silent.iter_mut().for_each(|client| assert_eq!(client.next(), None));
-    assert_eq!(late.next(), None);
+    silent.iter_mut().for_each(|client| assert_eq!(client.reply_or_end(), None));
+    assert_eq!(late.reply_or_end(), None);
     assert!(client.healthy(2));
 }
 
