A made-up report no longer takes another call's answer away

Cause: the plain call forgot the call that a report named, also where the report was refused; a call waiting under that number then never heard its answer.

report_on says whether the report was its own; only then is the call forgotten.

--- a/crates/lab/src/choices.rs
+++ b/crates/lab/src/choices.rs
@@ -18,7 +18,7 @@
 use crate::stand_in::{Router, Start, configuration};
 
 /// Seconds of processor that a process has used, and its resident kilobytes.
-fn used(pid: u32) -> Result<(f64, u64)> {
+pub(crate) fn used(pid: u32) -> Result<(f64, u64)> {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
     let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
     let ticks: f64 = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
--- a/crates/router/src/choices.rs
+++ b/crates/router/src/choices.rs
@@ -156,6 +156,7 @@
 
     pub fn call(self: &Rc<Self>, open: &Open, call: Call) {
         // An id names one view at a time, on whichever front it came.
+        tracing::debug!(stream = open.stream.0, ticket = call.ticket, attempt = call.attempt, "called");
         let mine = self.calls.borrow().has(call.ticket);
         let full = self.decisions.open_views() >= self.most;
         if !mine && self.ids.has(call.ticket) {
@@ -181,15 +182,17 @@
     /// A report on an earlier call, by its number and ticket; what is said to that one from now on is for
     /// whoever reports. Only one whose connection is done with it, and whose choice is out, can be reported
     /// so: nobody takes over another's call by a number.
-    pub fn report_on(self: &Rc<Self>, open: &Open, stream: Stream, ticket: u64, report: Report) {
+    pub fn report_on(self: &Rc<Self>, open: &Open, stream: Stream, ticket: u64, report: Report) -> bool {
         let attached = self.ends.borrow().streams.contains_key(&stream);
         if attached || !self.calls.borrow().is_out(stream, ticket) {
-            return self.report(open, report);
+            self.report(open, report);
+            return false;
         }
         self.ends.borrow_mut().streams.insert(stream, Rc::clone(&open.says));
         self.tell(|calls, now, hands| {
             calls.reported(now, hands, stream, Some(ticket), report);
         });
+        true
     }
 
     /// The report's answer was given, or nobody waits for it.
--- a/crates/router/src/subrequests.rs
+++ b/crates/router/src/subrequests.rs
@@ -239,9 +239,12 @@
         }
     };
     let open = router.choices.open();
-    router.choices.report_on(&open, lease, ticket, report);
+    let taken = router.choices.report_on(&open, lease, ticket, report);
     let said = said_or_gone(&open, stream).await;
-    router.choices.forget(lease);
+    // Only what was its own: a number that somebody made up must not take another call's answer away.
+    if taken {
+        router.choices.forget(lease);
+    }
     match said? {
         Say::PassOn => give(router, stream, 204, &Vec::new(), asked.closes).await,
         Say::Again => give(router, stream, 200, &vec![("x-tindoor-again", "1".into())], asked.closes).await,
--- a/crates/router/tests/called.rs
+++ b/crates/router/tests/called.rs
@@ -152,9 +152,16 @@
     let choice = first.ask(&save("00000000000000b1"));
     let lease = header(&choice, "x-tindoor-lease").unwrap().to_string();
     let second = std::thread::spawn(move || Caller::connect(at).ask(&save("00000000000000b2")));
-    // It waits in the router, which alone knows of both.
-    let health = |router: &Router| Client::connect(router).healthy(1);
-    assert!(health(&world.router));
+    // It waits. A report that somebody makes up for its number must not take its answer away.
+    world.router.log.wait("the second call", |log| {
+        let calls = log.iter().filter(|line| line.contains("called stream="));
+        (calls.count() >= 2).then_some(())
+    });
+    for lease in 1..5 {
+        let names = format!("x-ticket: 00000000000000b9\r\nx-tindoor-lease: {lease}\r\nx-status: 200");
+        let refused = Caller::connect(at).ask(&format!("POST /report HTTP/1.1\r\n{names}\r\n\r\n"));
+        assert_eq!(header(&refused, "x-tindoor-reason"), Some("no-choice"));
+    }
     let names = format!("x-ticket: 00000000000000b1\r\nx-tindoor-lease: {lease}\r\nx-status: 200");
     let version = "x-version: 4be0c1927d55a6f3";
     assert!(
