Check names the line of a key; stories of continued headers and a window that never opens

Need: check is to name file, line and key at fault, in the configuration too. A visitor objects at the sought place and the JSON library says its line.

--- a/crates/lab/src/peer.rs
+++ b/crates/lab/src/peer.rs
@@ -228,3 +228,19 @@
         (given, measured)
     })
 }
+
+/// A call on a connection that never opens a window: whether the router resets its stream.
+pub fn shut_window(front: SocketAddr) -> bool {
+    inside(async {
+        let socket = TcpStream::connect(front).await.expect("the front listens");
+        let builder = h2::client::Builder::new().initial_window_size(0).handshake::<_, Bytes>(socket).await;
+        let (sender, connection) = builder.expect("a handshake");
+        tokio::spawn(async move { connection.await.ok() });
+        let mut sender = sender.ready().await.expect("ready");
+        let (answer, mut stream) =
+            sender.send_request(post(PROCESS, "application/grpc"), false).expect("a stream");
+        let _ = stream.send_data(page(1, &[("x-max-ms", "1000")]), false);
+        let Ok(answer) = answer.await else { return true };
+        matches!(answer.into_body().data().await, Some(Err(_)))
+    })
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -9,6 +9,7 @@
 mod feed;
 mod fronts;
 mod limits;
+mod locate;
 mod places;
 mod processor;
 mod router;
@@ -84,9 +85,18 @@
     Ok((deployment, fronts))
 }
 
+/// An error names the file, the key, and its line.
 fn read_configuration(path: &OsString) -> Result<Deployment> {
     let text = std::fs::read(path).with_context(|| format!("configuration {}", path.display()))?;
-    configuration::read(&text).context("configuration")
+    configuration::read(&text).map_err(|error| {
+        // Messages begin with the path of the key that they are about.
+        let words = format!("{error:#}");
+        let key = words.split(": ").find(|part| !part.contains(' ')).unwrap_or_default();
+        let line = locate::line(&text, key).map_or(String::new(), |line| format!("line {line}: "));
+        error.context(
+            format!("configuration {}: {line}", path.display()).trim_end_matches([' ', ':']).to_string(),
+        )
+    })
 }
 
 async fn run(
--- a/crates/router/tests/called.rs
+++ b/crates/router/tests/called.rs
@@ -223,6 +223,9 @@
     assert!(code == Some(1) && said.contains("line 2") && said.contains("call.listen"), "{said}");
     let (code, said) = check(r#"{"call": {"listen": "127.0.0.1:0", "lisen": 1}}"#);
     assert!(code == Some(1) && said.contains("lisen"), "{said}");
+    std::fs::write(&named, "{\n\"name\": \"n\",\n\"seed\": 5\n}").unwrap();
+    let (code, said) = check(r#"{"call": {"listen": "127.0.0.1:0"}}"#);
+    assert!(code == Some(1) && said.contains("configuration.json: line 3: seed"), "{said}");
     std::fs::remove_dir_all(folder).unwrap();
 }
 
@@ -285,6 +288,40 @@
     assert_eq!((figures.answered_none, figures.done), (0, 4000), "{}", figures.table());
 }
 
+#[test]
+fn a_flood_of_continued_headers_closes_its_own_connection() {
+    let world = world();
+    let front = world.router.front("external_processing");
+    let mut peer = TcpStream::connect(front).unwrap();
+    peer.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    let frame = |kind: u8, flags: u8, stream: u32, body: &[u8]| {
+        let size = (body.len() as u32).to_be_bytes();
+        [&size[1..], &[kind, flags], &stream.to_be_bytes(), body].concat()
+    };
+    peer.write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n").unwrap();
+    peer.write_all(&frame(4, 0, 0, &[])).unwrap();
+    // Headers that never end: a literal field, again and again.
+    let field = [&[0, 1, b'a', 100][..], &[b'b'; 100]].concat();
+    peer.write_all(&frame(1, 0, 1, &field)).unwrap();
+    let block = field.repeat(80);
+    let cut = (0..20_000).any(|_| peer.write_all(&frame(9, 0, 1, &block)).is_err());
+    assert!(cut, "160 MB of headers were taken");
+    let outcome = peer::call(front, PROCESS, GRPC, vec![peer::page(1, &[]), peer::answer("200")]);
+    assert_eq!((outcome.said.len(), outcome.code), (2, Some(0)));
+}
+
+#[test]
+fn a_peer_that_never_opens_a_window_is_given_up_and_its_view_ends() {
+    let world = world();
+    let front = world.router.front("external_processing");
+    assert!(peer::shut_window(front), "the stream is reset");
+    world.router.terminate();
+    // Nothing is in hand any more: else the stop would wait for it, and say so.
+    let line =
+        world.router.log.wait("the stop", |log| log.iter().find(|line| line.contains("stopping")).cloned());
+    assert!(line.contains("views=0"), "{line}");
+}
+
 #[test]
 fn a_thousand_streams_that_a_peer_keeps_open_are_all_a_connection_may_hold() {
     let world = world();
