Signed links on the external processor: the module is told, refused views reach no cache

Need: a copied lesson link works for weeks; links are to lapse on the fronts, under the same module and rules.

The fronts file says where a request carries its token, which key file and skew hold, and which offerings need one. Both fronts that only choose check it before anybody is asked, take it out and send on the path that was checked. The verdict is a fact of the view (Asked.pass): the module turns back who is early and writes off who is refused. A refused call hears nothing of another's write. SIGHUP reads the keys again, whole or not at all.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -86,7 +86,8 @@
                 let object = record.u64()?;
                 let kb = Some(record.f32()?).filter(|kb| *kb > 0.0);
                 let no = control.host().open_view(ticket)?;
-                control.view(no, Asked { object, part, group, offering, kb, repeat, ran: None }, left);
+                let (ran, pass) = Default::default();
+                control.view(no, Asked { object, part, group, offering, kb, repeat, ran, pass }, left);
             }
             wire::STREAMING => {
                 let (ticket, _nth, _cache, _took) =
--- a/crates/calls/benches/table.rs
+++ b/crates/calls/benches/table.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use tindoor::host::{CacheNo, Note, Verdict};
+use tindoor::host::{CacheNo, Note, Pass, Verdict};
 use tindoor::time::{Moment, Span};
 use tindoor_calls::*;
 
@@ -42,7 +42,8 @@
     let now = Moment::at_micros(100_000_000 + nth * 20);
     let (offering, object, part, group, repeat, attempt) = (0, nth % 5000, 0, 3, false, 1);
     let left = Span::millis(3000);
-    let call = Call { ticket: nth, attempt, offering, object, part, group, mark, repeat, left };
+    let call =
+        Call { ticket: nth, attempt, offering, object, part, group, mark, repeat, left, pass: Pass::Free };
     let stream = Stream(nth);
     calls.tick(now, &mut Nobody);
     calls.call(now, &mut Nobody, stream, call);
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -13,7 +13,7 @@
 pub use marks::{Known, Marks};
 pub use table::{Bounds, Calls, Figures, Guards};
 
-use tindoor::host::{CacheNo, Note, Terms, Verdict};
+use tindoor::host::{CacheNo, Note, Pass, Terms, Verdict};
 use tindoor::time::{Moment, Span};
 
 /// A call on its way, as the front counts them; never used again.
@@ -41,6 +41,8 @@
     pub repeat: bool,
     /// How long the client waits from now on.
     pub left: Span,
+    /// What the check of its link said.
+    pub pass: Pass,
 }
 
 /// A choice as the module ordered it.
--- a/crates/calls/src/table.rs
+++ b/crates/calls/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use tindoor::host::{CacheNo, Note, Verdict};
+use tindoor::host::{CacheNo, Note, Pass, Verdict};
 use tindoor::time::{Moment, Span};
 
 use crate::marks::{Marks, State};
@@ -203,7 +203,9 @@
             return self.turn_away(hands, stream);
         }
         let mut ran = None;
-        if let Some(mark) = call.mark.filter(|_| self.guards.marks) {
+        // Whose link is refused hears nothing of another's write, and takes no mark in hand.
+        let mark = call.mark.filter(|_| self.guards.marks && call.pass == Pass::Free);
+        if let Some(mark) = mark {
             match self.marks.state(mark) {
                 Some(State::InHand(first)) => return self.wait_for(now, hands, stream, call, first),
                 Some(State::Done(known)) => {
@@ -264,7 +266,10 @@
     fn again(&mut self, now: Moment, hands: &mut impl Hands, stream: Stream, call: Call, serial: Serial) {
         let Some(view) = self.views.get_mut(&serial) else { return };
         let what = |call: &Call| (call.offering, call.object, call.part, call.mark);
-        if call.attempt <= view.attempt || what(&call) != what(&view.call) {
+        // A link that lapsed between two tries was good when the view began; one that never was is somebody
+        // else's.
+        let stranger = !matches!(call.pass, Pass::Free | Pass::Lapsed);
+        if call.attempt <= view.attempt || what(&call) != what(&view.call) || stranger {
             self.figures.turned_away += 1;
             return hands.say(stream, Say::WrittenOff(Why::Ticket));
         }
@@ -660,7 +665,7 @@
         };
         self.over.insert(view.call.ticket, Over { say: later, until });
         self.timers.set(until, Timer::Over(view.call.ticket));
-        if let Some(mark) = view.call.mark.filter(|_| self.guards.marks) {
+        if let Some(mark) = view.call.mark.filter(|_| self.guards.marks && view.call.pass == Pass::Free) {
             let state = match (done, view.ran) {
                 (Some(known), _) => Some(State::Done(known)),
                 (None, Some((at, cache))) => Some(State::Ran(at, cache)),
--- a/crates/calls/tests/model.rs
+++ b/crates/calls/tests/model.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use stateright::{Checker, Model, Property};
-use tindoor::host::{CacheNo, Note, Verdict};
+use tindoor::host::{CacheNo, Note, Pass, Verdict};
 use tindoor::time::{Moment, Span};
 use tindoor_calls::*;
 
@@ -164,7 +164,18 @@
                     if self.same { (1, attempt * 2 + nth as u32) } else { (nth as u64, attempt) };
                 let (offering, object, part, group, repeat) = (0, 1, 0, 0, false);
                 let (mark, left) = (Some(9), Span::millis(5));
-                let call = Call { ticket, attempt, offering, object, part, group, mark, repeat, left };
+                let call = Call {
+                    ticket,
+                    attempt,
+                    offering,
+                    object,
+                    part,
+                    group,
+                    mark,
+                    repeat,
+                    left,
+                    pass: Pass::Free,
+                };
                 calls.call(at, rest, stream, call);
             }
             Event::Send(stream) => {
--- a/crates/calls/tests/stories.rs
+++ b/crates/calls/tests/stories.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use tindoor::host::{CacheNo, Note, Verdict};
+use tindoor::host::{CacheNo, Note, Pass, Verdict};
 use tindoor::time::{Moment, Span};
 use tindoor_calls::*;
 
@@ -69,7 +69,7 @@
 fn save(ticket: u64, attempt: u32, mark: u128) -> Call {
     let (offering, object, part, group, repeat) = (1, 7, 0, 3, false);
     let (mark, left) = (Some(mark), Span::millis(3000));
-    Call { ticket, attempt, offering, object, part, group, mark, repeat, left }
+    Call { ticket, attempt, offering, object, part, group, mark, repeat, left, pass: Pass::Free }
 }
 
 fn page(ticket: u64, attempt: u32) -> Call {
@@ -312,6 +312,27 @@
     );
 }
 
+#[test]
+fn a_refused_link_hears_nothing_of_a_write_and_takes_over_no_view() {
+    let mut world = world();
+    world.call(1, save(5, 1, 77));
+    world.order(1, 0, 2);
+    world.call(2, Call { pass: Pass::Refused, ..save(6, 1, 77) });
+    assert!(
+        world.fake.did.contains(&Did::Begin(Serial(2), None)),
+        "the module gives its answer, and nobody else"
+    );
+    world.refuse(2);
+    world.call(3, Call { pass: Pass::Refused, ..save(5, 2, 77) });
+    assert_eq!(world.said(3), Say::WrittenOff(Why::Ticket));
+    world.call(4, Call { pass: Pass::Lapsed, ..save(5, 3, 77) });
+    assert_eq!(world.said(1), Say::WrittenOff(Why::Overtaken), "it was good when the view began");
+    world.order(1, 1, 2);
+    world.report(4, Verdict::Done);
+    world.call(5, save(7, 1, 77));
+    assert!(matches!(world.said(5), Say::Known(_)), "the refused one took no mark away");
+}
+
 #[test]
 fn a_change_takes_back_what_has_not_left_and_counts_what_has() {
     let mut world = world();
--- a/crates/extproc/src/ask.rs
+++ b/crates/extproc/src/ask.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use tindoor::host::{Note, Verdict};
+use tindoor::host::{Note, Pass, Verdict};
 use tindoor::time::Span;
 use tindoor_calls::{Call, Known, Report};
 use xxhash_rust::xxh3::xxh3_64;
@@ -65,6 +65,13 @@
 pub struct Headers<'a>(pub Vec<(&'a str, &'a [u8])>);
 
 impl<'a> Headers<'a> {
+    /// The text of a header that is given once, of any length.
+    pub fn one(&self, name: &str) -> Option<&'a str> {
+        let mut values = self.0.iter().filter(|header| header.0 == name).map(|header| header.1);
+        let value = values.next().filter(|_| values.next().is_none())?;
+        std::str::from_utf8(value).ok()
+    }
+
     /// The value of a header: graphic text of bounded length, given once.
     fn text(&self, name: &str) -> Result<Option<&'a str>, Fault> {
         let fault = |what| Fault { header: name.to_string(), what };
@@ -146,6 +153,7 @@
         mark: mark.filter(|_| known.tagged),
         repeat,
         left,
+        pass: Pass::Free,
     })
 }
 
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// How often caches were asked for that view.
+    pub fn dispatches(&self, ticket: &str) -> u64 {
+        self.record.lock().unwrap().dispatches.get(ticket).copied().unwrap_or_default()
+    }
+
     /// What the caches saw.
     pub fn audit(&self, figures: &mut Figures) {
         let record = self.record.lock().unwrap();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod fleet;
 pub mod peer;
 pub mod proxy;
+pub mod signed;
 pub mod stand_in;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use clap::{Args, Parser, Subcommand};
 use tindoor_lab::called::{self, Plan};
 use tindoor_lab::figures::Figures;
-use tindoor_lab::{choices, demo};
+use tindoor_lab::{choices, demo, signed};
 
 /// Experiments on loopback with stand-ins; each ends with 1 where a rule was broken.
 #[derive(Parser)]
@@ -50,6 +50,17 @@
         #[arg(long, default_value_t = 48)]
         clients: u64,
     },
+    /// Links of every kind, good and bent, with a key revoked halfway.
+    Signed {
+        #[command(flatten)]
+        common: Common,
+        /// How far the signers' clocks are off, in seconds.
+        #[arg(long, default_value_t = 0, allow_hyphen_values = true)]
+        signer_off: i64,
+        /// Takes one guard out (a build of the router for tests only): links, revoked.
+        #[arg(long)]
+        without: Option<String>,
+    },
     /// What a choice takes at so many streams, against a call that is refused before anybody is asked.
     Choices {
         #[command(flatten)]
@@ -85,6 +96,10 @@
                 .and_then(|faults| called::run(&Plan { seed, views, seconds, faults, without, clients }));
             (common, figures)
         }
+        Experiment::Signed { common, signer_off, without } => {
+            let Common { seed, views, .. } = common;
+            (common, signed::run(&signed::Plan { seed, views, signer_off, without }))
+        }
         Experiment::Choices { common, streams, pause_us } => {
             let figures = choices::run(common.seed, common.views, streams, Duration::from_micros(pause_us));
             (common, figures)
--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -305,7 +305,8 @@
     /// Sends the request to the chosen cache, as the choice says.
     async fn forward(&self, asked: &Message, chosen: &Fields) -> Result<Message, &'static str> {
         let address = chosen.get("x-tindoor-address").ok_or("unused")?.clone();
-        let mut head = format!("GET {} HTTP/1.1\r\nHost: cache\r\n", asked.what);
+        let path = chosen.get(":path").unwrap_or(&asked.what);
+        let mut head = format!("GET {path} HTTP/1.1\r\nHost: cache\r\n");
         let names = ["x-ticket", "x-max-ms", "x-source", "x-tier", "x-mode", "x-accept-age"];
         for (name, value) in names.iter().filter_map(|name| Some((name, chosen.get(*name)?))) {
             head.push_str(&format!("{name}: {value}\r\n"));
@@ -398,7 +399,7 @@
         ("x-envoy-attempt-count".into(), attempt.to_string()),
         ("x-max-ms".into(), left.to_string()),
     ];
-    let known = ["x-ticket", "x-nonce", "x-group", "x-redo"];
+    let known = ["x-ticket", "x-nonce", "x-group", "x-redo", "cookie", "x-envoy-external-address"];
     fields.extend(known.iter().filter_map(|n| Some((n.to_string(), asked.fields.get(*n)?.clone()))));
     fields
 }
--- /dev/null
+++ b/crates/lab/src/signed.rs
@@ -0,0 +1,283 @@
+//! Experiment: links of every kind, good and bent, under key rotation. An oracle that shares no code with the
+//! router, and signs by other libraries, says what each must get; caches say whether a refused view reached
+//! them.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+
+use anyhow::Result;
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use hmac::{Hmac, Mac};
+use jsonwebtoken::{EncodingKey, Header};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use sha2::Sha256;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::figures::Figures;
+use crate::fleet::{Fleet, unix_ms};
+use crate::proxy::{Proxy, read};
+use crate::stand_in::{Router, Start, configuration};
+
+const KINDS: [&str; 14] = [
+    "good",
+    "good-token",
+    "good-cookie",
+    "re-encoded",
+    "lapsed",
+    "just-lapsed",
+    "early",
+    "forged",
+    "foreign",
+    "copied",
+    "truncated",
+    "elsewhere",
+    "missing",
+    "revoked",
+];
+
+/// What the oracle says a client must get.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Must {
+    Pass,
+    ComeBack,
+    Refused,
+}
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub views: u64,
+    /// How far the signers' clocks are off, in seconds.
+    pub signer_off: i64,
+    pub without: Option<String>,
+}
+
+/// The skew that the router is told.
+const SKEW: i64 = 2;
+
+fn secret(key: &str) -> [u8; 32] {
+    let mut secret = [0x5a; 32];
+    secret.iter_mut().zip(key.bytes()).for_each(|(byte, other)| *byte ^= other);
+    secret
+}
+
+fn hmac(key: &str, text: &str, signed: &str) -> String {
+    let mut mac = Hmac::<Sha256>::new_from_slice(&secret(key)).expect("any length");
+    mac.update(signed.as_bytes());
+    let digits: String = mac.finalize().into_bytes().iter().map(|byte| format!("{byte:02x}")).collect();
+    format!("{text}~hmac={digits}")
+}
+
+fn token(key: &str, claims: &Value) -> String {
+    let mut header = Header::new(jsonwebtoken::Algorithm::HS256);
+    header.kid = Some(key.to_string());
+    jsonwebtoken::encode(&header, claims, &EncodingKey::from_secret(&secret(key))).expect("a token")
+}
+
+/// Writes the key set so that its owner alone can read it.
+fn write_keys(path: &Path, revoked: bool) -> Result<()> {
+    let key = |id| json!({"kid": id, "kty": "oct", "alg": "HS256", "k": URL_SAFE_NO_PAD.encode(secret(id))});
+    let mut set = json!({"keys": [key("old"), key("new")], "revoked_tokens": ["stolen"]});
+    if revoked {
+        set["revoked_keys"] = json!(["old"]);
+    }
+    let new = path.with_extension("new");
+    let _ = std::fs::remove_file(&new);
+    let mut file = std::fs::OpenOptions::new().write(true).create_new(true).mode(0o600).open(&new)?;
+    file.write_all(set.to_string().as_bytes())?;
+    std::fs::rename(new, path)?;
+    Ok(())
+}
+
+/// A request of a kind: its target and headers, and what it must get.
+fn request(
+    kind: &str,
+    key: &str,
+    revoked: bool,
+    signer_off: i64,
+    chance: &mut Pcg64Mcg,
+) -> (String, String, Must) {
+    let now = unix_ms() as i64 / 1000;
+    let signed = now + signer_off;
+    let object = format!("{:016x}", chance.random_range(0x1000..0x1040u64));
+    let path = format!("/v1/store/pages/{object}/{}", chance.random_range(0..4));
+    let fields =
+        |begins: i64, ends: i64| format!("ip=10.1.0.0/16~st={begins}~exp={ends}~acl=/v1/store/pages/*");
+    let plain = fields(signed - 30, signed + 600);
+    let by_query = |target: &str, token: &str| format!("{target}?t={}", token.replace('=', "%3d"));
+    // A client each: what one may have checked is bounded, and most of these tokens are bad.
+    let mut client = format!("10.1.{}.{}", chance.random::<u8>(), chance.random::<u8>());
+    let mut headers = String::new();
+    // A signer that is off by more than the skew makes its links begin or end at other times, as it should.
+    let passes = |begins: i64, ends: i64| match () {
+        () if now + SKEW < begins => Must::ComeBack,
+        () if now >= ends + SKEW => Must::Refused,
+        () => Must::Pass,
+    };
+    let by_key = |must| if revoked && key == "old" { Must::Refused } else { must };
+    let (target, must) = match kind {
+        "good" => (by_query(&path, &hmac(key, &plain, &plain)), by_key(passes(signed - 30, signed + 600))),
+        "good-token" | "good-cookie" | "revoked" => {
+            let id = if kind == "revoked" { "stolen" } else { "t1" };
+            let container = "regex:https://videos\\.example/v1/store/pages/.*";
+            let claims = json!({"cdniuc": container, "exp": signed + 600,
+                                "nbf": signed - 30, "jti": id, "cdniip": "10.1.0.0/16"});
+            let token = token(key, &claims);
+            let must = if kind == "revoked" { Must::Refused } else { passes(signed - 30, signed + 600) };
+            let target = match kind {
+                "good-cookie" => {
+                    headers = format!("cookie: a=b; URISigningPackage={token}\r\n");
+                    path
+                }
+                _ => format!("{path}?URISigningPackage={token}"),
+            };
+            (target, by_key(must))
+        }
+        "re-encoded" => {
+            let bent = path.replace("/pages/", "//%70ages/./").replace("/v1/", "/x/../v1/");
+            (by_query(&bent, &hmac(key, &plain, &plain)), by_key(passes(signed - 30, signed + 600)))
+        }
+        "lapsed" | "just-lapsed" => {
+            let ends = if kind == "lapsed" { signed - 600 } else { signed - SKEW - 3 };
+            let text = fields(signed - 900, ends);
+            (by_query(&path, &hmac(key, &text, &text)), by_key(passes(signed - 900, ends)))
+        }
+        "early" => {
+            let text = fields(signed + 60, signed + 600);
+            (by_query(&path, &hmac(key, &text, &text)), by_key(passes(signed + 60, signed + 600)))
+        }
+        "forged" => {
+            let token = hmac(key, &plain, &plain).replace("exp=", "exp=9");
+            (by_query(&path, &token), Must::Refused)
+        }
+        "foreign" => (by_query(&path, &hmac("stranger", &plain, &plain)), Must::Refused),
+        "copied" => {
+            client = client.replace("10.1.", "10.9.");
+            (by_query(&path, &hmac(key, &plain, &plain)), Must::Refused)
+        }
+        "truncated" => {
+            let token = hmac(key, &plain, &plain);
+            (by_query(&path, &token[..token.len() - chance.random_range(1..40)]), Must::Refused)
+        }
+        "elsewhere" => {
+            let text = plain.replace("/pages/*", "/pages/ffff*");
+            (by_query(&path, &hmac(key, &text, &text)), Must::Refused)
+        }
+        _ => (path, Must::Refused),
+    };
+    headers.push_str(&format!("x-envoy-external-address: {client}\r\n"));
+    (target, headers, must)
+}
+
+type Counts = BTreeMap<String, BTreeMap<String, u64>>;
+
+/// Runs the experiment: half of the views before the old key is revoked, half after.
+pub fn run(plan: &Plan) -> Result<Figures> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
+    let fleet = Fleet::start(4);
+    let free = || std::net::TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
+    let [front, call] = [free()?, free()?];
+    let folder = std::env::temp_dir().join(format!("tindoor-keys-{}-{}", std::process::id(), front.port()));
+    std::fs::create_dir_all(&folder)?;
+    let keys = folder.join("keys.json");
+    write_keys(&keys, false)?;
+    let links = json!({"keys": keys, "base": "https://videos.example", "skew_ms": SKEW * 1000,
+        "offerings": ["pages"],
+        "forms": [{"form": "hmac", "from": {"query": "t"}, "keys": ["old", "new"]},
+                  {"form": "uri-signing", "from": {"query": "URISigningPackage"}},
+                  {"form": "uri-signing", "from": {"cookie": "URISigningPackage"}}]});
+    let fronts = json!({"external_processing": {"listen": front}, "call": {"listen": call}, "links": links});
+    let start =
+        Start { fronts: Some(fronts), without: plan.without.clone(), log: Some("info"), ..Start::default() };
+    let router = Router::start_with(&configuration(fleet.log.address, fleet.members()), &start);
+    fleet.log.asks(1);
+    let proxy = runtime.block_on(Proxy::start(front, call));
+    let (figures, counts) = (Arc::new(Mutex::new(Figures::default())), Arc::new(Mutex::new(Counts::new())));
+    let refused = Arc::new(Mutex::new(Vec::new()));
+    for revoked in [false, true] {
+        if revoked {
+            write_keys(&keys, true)?;
+            router.hang_up();
+            router.log.wait("the keys to be read", |log| {
+                log.iter().any(|line| line.contains("keys read again")).then_some(())
+            });
+        }
+        let tasks: Vec<_> = (0..16u64)
+            .map(|no| {
+                let (plan, address) = (plan.clone(), proxy.address);
+                let (figures, counts, refused) =
+                    (Arc::clone(&figures), Arc::clone(&counts), Arc::clone(&refused));
+                runtime.spawn(async move {
+                    let seed = plan.seed.wrapping_mul(0x9E37_79B9).wrapping_add(no * 2 + u64::from(revoked));
+                    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+                    for _ in 0..plan.views / 32 {
+                        let kind = KINDS[chance.random_range(0..KINDS.len())];
+                        let key = if chance.random_bool(0.5) { "old" } else { "new" };
+                        let ticket = format!("{:016x}", chance.random::<u64>());
+                        let (target, headers, must) =
+                            request(kind, key, revoked, plan.signer_off, &mut chance);
+                        let got = ask(address, &target, &headers, &ticket).await;
+                        let mut figures = figures.lock().unwrap();
+                        figures.views += 1;
+                        let was = match got {
+                            Some(200) => Some(Must::Pass),
+                            Some(503) => Some(Must::ComeBack),
+                            Some(403) => Some(Must::Refused),
+                            _ => None,
+                        };
+                        match was {
+                            Some(Must::Pass) => figures.done += 1,
+                            Some(Must::ComeBack) => figures.turned_back += 1,
+                            Some(Must::Refused) => figures.written_off += 1,
+                            None => figures.answered_none += 1,
+                        }
+                        if must != Must::Pass {
+                            refused.lock().unwrap().push(ticket);
+                        }
+                        let said = if was == Some(must) {
+                            format!("{must:?}")
+                        } else {
+                            format!("{must:?} got {got:?}")
+                        };
+                        let mut counts = counts.lock().unwrap();
+                        *counts.entry(kind.to_string()).or_default().entry(said).or_default() += 1;
+                    }
+                })
+            })
+            .collect();
+        runtime.block_on(async {
+            for task in tasks {
+                task.await.expect("a client that ends");
+            }
+        });
+    }
+    std::fs::remove_dir_all(folder)?;
+    let mut figures = figures.lock().unwrap().clone();
+    let counts = counts.lock().unwrap().clone();
+    let wrong: u64 =
+        counts.values().flatten().filter(|(said, _)| said.contains("got")).map(|(_, count)| *count).sum();
+    let reached = refused.lock().unwrap().iter().filter(|ticket| fleet.dispatches(ticket) > 0).count();
+    fleet.audit(&mut figures);
+    figures.more.insert("by_kind".into(), json!(counts));
+    figures.more.insert("other_than_must".into(), json!(wrong));
+    figures.more.insert("refused_reached_a_cache".into(), json!(reached));
+    figures.judge(8, wrong + reached as u64);
+    Ok(figures)
+}
+
+/// The status that a client got; none without a whole answer.
+async fn ask(address: std::net::SocketAddr, target: &str, headers: &str, ticket: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let head = format!("GET {target} HTTP/1.1\r\nx-ticket: {ticket}\r\nx-max-ms: 3000\r\n{headers}\r\n");
+    stream.write_all(head.as_bytes()).await.ok()?;
+    let mut rest = Vec::new();
+    let answer = tokio::time::timeout(std::time::Duration::from_secs(10), read(&mut stream, &mut rest));
+    answer.await.ok()?.ok()??.what.parse().ok()
+}
--- a/crates/lab/src/stand_in.rs
+++ b/crates/lab/src/stand_in.rs
@@ -384,6 +384,11 @@
         self.signal("-HUP");
     }
 
+    /// Has the router read its files again.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
--- a/crates/router/src/choices.rs
+++ b/crates/router/src/choices.rs
@@ -70,8 +70,8 @@
     fn begin(&mut self, serial: Serial, call: &Call, ran: Option<(Moment, CacheNo)>) {
         let choices = Rc::clone(self.choices);
         let (no, slot) = choices.decisions.open_view();
-        let Call { object, part, group, offering, repeat, left, .. } = *call;
-        let asked = Asked { object, part, group, offering, kb: None, repeat, ran };
+        let Call { object, part, group, offering, repeat, left, pass, .. } = *call;
+        let asked = Asked { object, part, group, offering, kb: None, repeat, ran, pass };
         choices.decisions.tell(|control| control.view(no, asked, left));
         let (id, orders) = (choices.ids.take(call.ticket), Rc::clone(&slot));
         let _orders = self.choices.executor.spawn(async move {
@@ -249,6 +249,8 @@
             "tickets" => guards.tickets = false,
             "withdraw" => guards.withdraw = false,
             "leases" => guards.leases = false,
+            // Those of links are taken out there.
+            "links" | "revoked" => {}
             other => tracing::error!(guard = other, "no such guard"),
         }
         tracing::warn!(without, "a guard is taken out for an experiment");
--- a/crates/router/src/fronts.rs
+++ b/crates/router/src/fronts.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use tindoor_extproc::ask::Names;
 
+use crate::links::Told;
+
 #[derive(Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fronts {
@@ -13,6 +15,9 @@
     pub external_processing: Option<Front>,
     #[serde(default)]
     pub call: Option<Front>,
+    /// Links that are checked on the fronts of this file.
+    #[serde(default)]
+    pub links: Option<Told>,
 }
 
 #[derive(Debug, Deserialize)]
--- /dev/null
+++ b/crates/router/src/links.rs
@@ -0,0 +1,213 @@
+//! Signed links on the fronts: where a request carries its token, the key file, and what the module is told
+//! of it.
+
+use std::cell::RefCell;
+use std::net::{IpAddr, Ipv4Addr};
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result, bail};
+use serde::Deserialize;
+use tindoor::host::Pass;
+use tindoor::time::Span;
+use tindoor_extproc::ask::{Headers, Offering};
+use tindoor_links::Format;
+use tindoor_links::claims::{Asked, Now, Refusal};
+use tindoor_links::hmac_form::HmacForm;
+use tindoor_links::keys::KeySet;
+use tindoor_links::normal;
+use tindoor_links::prefix::PrefixSignature;
+use tindoor_links::uri_signing::UriSigning;
+use tindoor_links::verdicts::{Bounds, Refused, Verdicts};
+
+/// As the fronts file has it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Told {
+    /// The key set's file; nobody but its owner may read it.
+    pub keys: PathBuf,
+    /// Scheme and host of the links, as their signers write them.
+    pub base: String,
+    /// How far the signers' clocks and ours may be apart.
+    pub skew_ms: u64,
+    /// Offerings that need a link; all others pass without.
+    pub offerings: Vec<String>,
+    pub forms: Vec<Form>,
+    /// The header with the client's address.
+    #[serde(default = "external")]
+    pub client: String,
+}
+
+fn external() -> String {
+    "x-envoy-external-address".to_string()
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, tag = "form", rename_all = "kebab-case")]
+pub enum Form {
+    /// The HMAC form, checked by these keys.
+    Hmac { from: Source, keys: Vec<String> },
+    /// RFC 9246, for this audience where a token names one.
+    UriSigning { from: Source, audience: Option<String> },
+    /// The Ed25519 prefix signature.
+    Prefix { from: Source },
+}
+
+/// Where a token stands.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "lowercase")]
+pub enum Source {
+    Query(String),
+    Cookie(String),
+    Header(String),
+}
+
+/// The longest skew that may be allowed: beyond it a link hardly lapses.
+const LONGEST_SKEW: u64 = 60_000;
+
+pub struct Links {
+    file: PathBuf,
+    base: String,
+    skew_ms: u64,
+    /// Which offerings need a link, by their numbers.
+    needed: Vec<bool>,
+    forms: Vec<(Box<dyn Format>, Source)>,
+    client: String,
+    keys: RefCell<KeySet>,
+    verdicts: RefCell<Verdicts>,
+}
+
+/// What came of a request's link.
+pub struct Judged {
+    /// The path as it was checked, without the token: this goes on.
+    pub path: String,
+    pub pass: Pass,
+    /// Why it does not pass, for its client and for the log.
+    pub why: Option<String>,
+}
+
+/// A key file that others can read is no secret: nothing of it is used.
+fn read_keys(path: &Path) -> Result<KeySet> {
+    use std::os::unix::fs::PermissionsExt;
+    let mode = std::fs::metadata(path).with_context(|| format!("{}", path.display()))?.permissions().mode();
+    if mode & 0o077 != 0 {
+        bail!("{}: others can read it (mode {:o}); allow its owner alone", path.display(), mode & 0o777);
+    }
+    let text = std::fs::read(path).with_context(|| format!("{}", path.display()))?;
+    KeySet::read(&text).with_context(|| format!("{}", path.display()))
+}
+
+impl Links {
+    pub fn start(told: Told, offerings: &[Offering], seed: u64) -> Result<Self> {
+        if told.skew_ms > LONGEST_SKEW {
+            bail!("links.skew_ms: {} is over {LONGEST_SKEW}", told.skew_ms);
+        }
+        if let Some(unknown) = told.offerings.iter().find(|name| !offerings.iter().any(|o| o.name == **name))
+        {
+            bail!("links.offerings: {unknown:?} is not known");
+        }
+        let keys = read_keys(&told.keys).context("links.keys")?;
+        for form in &told.forms {
+            if let Form::Hmac { keys: ids, .. } = form
+                && let Some(unknown) = ids.iter().find(|id| keys.key(id).is_none())
+            {
+                bail!("links.forms: the key {unknown:?} is not in the set");
+            }
+        }
+        let form = |form| -> (Box<dyn Format>, Source) {
+            match form {
+                Form::Hmac { from, keys } => (Box::new(HmacForm { keys }), from),
+                Form::UriSigning { from, audience } => (Box::new(UriSigning { audience }), from),
+                Form::Prefix { from } => (Box::new(PrefixSignature), from),
+            }
+        };
+        let mut secret = [0; 8];
+        getrandom::fill(&mut secret).context("random numbers")?;
+        Ok(Self {
+            needed: offerings.iter().map(|offering| told.offerings.contains(&offering.name)).collect(),
+            file: told.keys,
+            base: told.base,
+            skew_ms: told.skew_ms,
+            forms: told.forms.into_iter().map(form).collect(),
+            client: told.client,
+            keys: RefCell::new(keys),
+            verdicts: RefCell::new(Verdicts::new(Bounds::default(), (seed, u64::from_ne_bytes(secret)))),
+        })
+    }
+
+    /// Reads the keys again, whole or not at all.
+    pub fn reload(&self) -> Result<()> {
+        if without("revoked") {
+            tracing::info!("keys read again");
+            return Ok(());
+        }
+        let keys = read_keys(&self.file)?;
+        tracing::info!(keys = keys.iter().count(), "keys read again");
+        *self.keys.borrow_mut() = keys;
+        self.verdicts.borrow_mut().forget();
+        Ok(())
+    }
+
+    /// Judges a request by its headers, before anybody is asked; a fault where its path has no normal form.
+    pub fn judge(&self, path: &str, headers: &Headers, unix_ms: u64) -> Result<Judged, normal::Fault> {
+        let mut target = normal::target(path)?;
+        let mut tokens = Vec::new();
+        // Each token is taken out, so that the path that goes on is the one that was checked, whoever signed
+        // it.
+        for (format, source) in &self.forms {
+            let token = match source {
+                Source::Query(key) => target.take(key),
+                Source::Cookie(name) => cookie(headers, name),
+                Source::Header(name) => headers.one(name).map(str::to_string),
+            };
+            tokens.extend(token.map(|token| (format, token)));
+        }
+        let path = target.text();
+        let client = headers.one(&self.client).and_then(|text| text.parse().ok());
+        // Without an address it fits no token that is for one, and shares one budget with all such.
+        let client = client.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
+        let (keys, mut verdicts) = (self.keys.borrow(), self.verdicts.borrow_mut());
+        let now = Now { unix_ms, skew_ms: self.skew_ms };
+        if without("links") {
+            return Ok(Judged { path, pass: Pass::Free, why: None });
+        }
+        let mut worst = (Pass::Refused, Refusal::Missing.to_string());
+        for (format, token) in tokens {
+            let asked = Asked { base: &self.base, target: &target, client };
+            match verdicts.check(&**format, &keys, &token, &asked, now) {
+                Ok(_) => return Ok(Judged { path, pass: Pass::Free, why: None }),
+                Err(Refused::Costs(wait)) => {
+                    worst = (Pass::Early(Span::millis(wait)), "too many tokens to check".to_string());
+                }
+                Err(Refused::Token(refusal)) => {
+                    let pass = match refusal {
+                        Refusal::Early(wait) => Pass::Early(Span::millis(wait)),
+                        Refusal::Lapsed(_) => Pass::Lapsed,
+                        _ => Pass::Refused,
+                    };
+                    worst = (pass, refusal.to_string());
+                }
+            }
+        }
+        Ok(Judged { path, pass: worst.0, why: Some(worst.1) })
+    }
+
+    /// Whether an offering needs a link at all.
+    pub fn needs(&self, offering: u16) -> bool {
+        self.needed.get(usize::from(offering)).copied().unwrap_or(true)
+    }
+}
+
+/// Whether an experiment has taken this guard out, in a build for tests only.
+fn without(guard: &str) -> bool {
+    cfg!(debug_assertions) && std::env::var("TINDOOR_WITHOUT").is_ok_and(|without| without == guard)
+}
+
+fn cookie(headers: &Headers, name: &str) -> Option<String> {
+    let cookies = headers.0.iter().filter(|header| header.0 == "cookie");
+    let pairs =
+        cookies.filter_map(|header| std::str::from_utf8(header.1).ok()).flat_map(|text| text.split(';'));
+    let mut values = pairs.filter_map(|pair| pair.trim().split_once('=')).filter(|pair| pair.0 == name);
+    // Given twice, nobody knows which one is meant.
+    let value = values.next()?;
+    values.next().is_none().then(|| value.1.to_string())
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -9,12 +9,14 @@
 mod feed;
 mod fronts;
 mod limits;
+mod links;
 mod locate;
 mod places;
 mod processor;
 mod router;
 mod subrequests;
 mod view;
+mod wanted;
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -38,9 +40,11 @@
 use configuration::{Deployment, Fixed};
 use fronts::Fronts;
 use limits::Seldom;
+use links::Links;
 use router::Router;
 use tindoor_changelog::Place;
 use tindoor_desk::{Decisions, Ids};
+use tindoor_extproc::ask::Offering;
 
 fn main() -> ExitCode {
     let line = Line::parse();
@@ -52,7 +56,7 @@
         LogFormat::Json => log.json().init(),
     }
     let done = match line.deed {
-        Some(Deed::Check(files)) => read(&files).map(|_| println!("ok")),
+        Some(Deed::Check(files)) => check(&files).map(|()| println!("ok")),
         Some(Deed::Serve(files)) => start(files),
         None => start(line.files),
     };
@@ -71,6 +75,24 @@
     async_io::block_on(executor.run(run(Rc::clone(&executor), files, deployment, fronts)))
 }
 
+/// Reads all that a start would read, the keys of links as well.
+fn check(files: &Files) -> Result<()> {
+    let (deployment, fronts) = read(files)?;
+    let asked = asked(&deployment);
+    fronts.links.map(|told| Links::start(told, &asked, 0).context("fronts")).transpose()?;
+    Ok(())
+}
+
+/// Offerings as proxies' headers are read.
+fn asked(deployment: &Deployment) -> Vec<Offering> {
+    let offering = |offering: &configuration::Offering| Offering {
+        name: offering.name.clone(),
+        tagged: offering.tagged,
+        cut_off: offering.cut_off,
+    };
+    deployment.offerings.iter().map(offering).collect()
+}
+
 fn read(files: &Files) -> Result<(Deployment, Fronts)> {
     let path =
         files.configuration().context("no configuration: name its file as argument or in PROXY_CONFIG")?;
@@ -109,6 +131,7 @@
     let hangups = Signals::new([Signal::Hup]).context("signals")?;
     let mut ends = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
     let path = files.configuration().unwrap_or_default();
+    let asked = asked(&deployment);
     let Deployment { name, listen, seed, mut limits, .. } = deployment;
     if fronts.external_processing.is_some() || fronts.call.is_some() {
         // Proxies' connections come out of the clients' share.
@@ -126,15 +149,15 @@
         limits.open_views,
         limits.calls(deployment.grace, deployment.window),
     );
-    let asked = deployment.offerings.iter().map(|offering| tindoor_extproc::ask::Offering {
-        name: offering.name.clone(),
-        tagged: offering.tagged,
-        cut_off: offering.cut_off,
-    });
+    let links = match fronts.links {
+        Some(told) => Some(Links::start(told, &asked, seed).context("fronts")?),
+        None => None,
+    };
     let router = Rc::new(Router {
         executor: Rc::clone(&executor),
         limits,
-        asked: asked.collect(),
+        asked,
+        links,
         choices,
         offerings: deployment.offerings,
         locations: deployment.locations,
@@ -198,6 +221,9 @@
     (mut address, mut feed): (SocketAddr, Task<Infallible>),
 ) {
     while hangups.next().await.is_some() {
+        if let Some(Err(what)) = router.links.as_ref().map(Links::reload) {
+            tracing::error!("keys not read again, the old ones stay: {what:#}");
+        }
         let deployment = match read_configuration(&path) {
             Ok(deployment) => deployment,
             Err(what) => {
--- a/crates/router/src/processor.rs
+++ b/crates/router/src/processor.rs
@@ -25,6 +25,7 @@
 use crate::limits::within;
 use crate::places;
 use crate::router::Router;
+use crate::wanted::{refused, wanted};
 
 /// How one stream ended, as gRPC's status: a code and words.
 type Status = (u16, &'static str);
@@ -243,8 +244,8 @@
         Some(_) => return Err(Some((INVALID, "the first message is not the request's headers"))),
         None => return Ok(()),
     };
-    let call = match ask::call(&pairs(&asked), names, &router.asked) {
-        Ok(call) => call,
+    let (call, path, why) = match wanted(router, &pairs(&asked), names) {
+        Ok(wanted) => wanted,
         Err(fault) => {
             tracing::debug!(%fault, "a request that can't be used");
             let fields = vec![("x-tindoor-reason", fault.to_string())];
@@ -261,7 +262,10 @@
         match &said {
             Say::Choice { choice, use_within, left } => {
                 let place = places::of(router, choice);
-                let message = say::chosen(say::choice(&call, choice, &place, *use_within, *left));
+                let mut fields = say::choice(&call, choice, &place, *use_within, *left);
+                // What was checked is what goes on.
+                fields.extend(path.clone().map(|path| (":path", path)));
+                let message = say::chosen(fields);
                 let bytes = frames::frame(&message);
                 talk.room(bytes.len()).await?;
                 // It may have been taken back while there was no room to send it.
@@ -271,9 +275,7 @@
                 }
             }
             other => {
-                let Some((status, fields)) = say::refusal(other) else {
-                    return Err(Some((ABORTED, "no choice")));
-                };
+                let (status, fields) = refused(other, why.as_deref());
                 talk.send(&say::immediate(status, fields)).await?;
                 return drain(talk).await;
             }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -13,6 +13,7 @@
 use crate::choices::Choices;
 use crate::configuration::Offering;
 use crate::limits::{Limits, Seldom};
+use crate::links::Links;
 
 /// What every task of the router shares.
 pub struct Router {
@@ -25,6 +26,8 @@
     pub kinds: Vec<String>,
     pub decisions: Rc<Decisions>,
     pub choices: Rc<Choices>,
+    /// None where no links are checked.
+    pub links: Option<Links>,
     pub ids: Ids,
     pub caches: Caches,
     pub budget: Rc<Budget>,
--- a/crates/router/src/subrequests.rs
+++ b/crates/router/src/subrequests.rs
@@ -15,6 +15,7 @@
 use crate::limits::within;
 use crate::places;
 use crate::router::Router;
+use crate::wanted::{refused, wanted};
 
 /// Accepts connections for as long as the router runs.
 pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>, names: Rc<Names>) {
@@ -163,8 +164,8 @@
     asked: &Asked,
     names: &Names,
 ) -> io::Result<()> {
-    let call = match ask::call(&asked.pairs(), names, &router.asked) {
-        Ok(call) => call,
+    let (call, path, why) = match wanted(router, &asked.pairs(), names) {
+        Ok(wanted) => wanted,
         Err(fault) => {
             let fields = vec![("x-tindoor-reason", fault.to_string())];
             return give(router, stream, 400, &fields, asked.closes).await;
@@ -179,6 +180,7 @@
                 let place = places::of(router, choice);
                 let mut fields = say::choice(&call, choice, &place, *use_within, *left);
                 fields.push(("x-tindoor-lease", open.stream.0.to_string()));
+                fields.extend(path.clone().map(|path| ("x-tindoor-path", path)));
                 // From its first byte on it may be used: its report comes as a request of its own, or its
                 // time ends.
                 open.outlives = true;
@@ -186,7 +188,7 @@
             }
             Say::Choice { .. } => {}
             other => {
-                let (status, fields) = say::refusal(other).unwrap_or((502, Vec::new()));
+                let (status, fields) = refused(other, why.as_deref());
                 return give(router, stream, status, &fields, asked.closes).await;
             }
         }
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future;
-use tindoor::host::{Asked, Verdict, ViewNo};
+use tindoor::host::{Asked, Pass, Verdict, ViewNo};
 use tindoor::time::Span;
 use tindoor_desk::{Answer, Dispatch, Ended, Hand, Slot, live};
 use tindoor_http::Ask;
@@ -194,6 +194,7 @@
         kb: None,
         repeat: repeat.is_some(),
         ran: None,
+        pass: Pass::Free,
     };
     let ask = Ask {
         offering: route,
--- /dev/null
+++ b/crates/router/tests/signed.rs
@@ -0,0 +1,105 @@
+//! Signed links on the external processor: every kind of token gets what an independent oracle says, and each
+//! guard is seen to be needed.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::os::unix::fs::PermissionsExt;
+
+use serde_json::json;
+use tindoor_lab::figures::Figures;
+use tindoor_lab::signed::{self, Plan};
+use tindoor_lab::stand_in::*;
+
+fn experiment(signer_off: i64, without: Option<&str>) -> Figures {
+    signed::run(&Plan { seed: 4, views: 640, signer_off, without: without.map(str::to_string) }).unwrap()
+}
+
+#[test]
+fn every_token_gets_what_the_oracle_says_also_with_signers_ten_seconds_off() {
+    for signer_off in [0, 10, -10] {
+        let figures = experiment(signer_off, None);
+        assert_eq!(figures.rules_broken, 0, "{}", figures.table());
+        assert!(
+            figures.done > 0 && figures.turned_back > 0 && figures.written_off > 0,
+            "{}",
+            figures.table()
+        );
+    }
+}
+
+#[test]
+fn without_the_check_of_links_refused_clients_reach_caches() {
+    let figures = experiment(0, Some("links"));
+    assert!(figures.more["refused_reached_a_cache"].as_u64() > Some(0), "{}", figures.table());
+}
+
+#[test]
+fn without_reading_the_keys_again_a_revoked_key_lives_on() {
+    let figures = experiment(0, Some("revoked"));
+    assert!(figures.more["other_than_must"].as_u64() > Some(0), "{}", figures.table());
+}
+
+#[test]
+fn a_key_file_that_others_can_read_is_refused_at_the_start_and_a_bad_one_later_changes_nothing() {
+    let (cache, log) = (Cache::start(|_| Deed::Say(served(b"x"))), ChangeLog::start());
+    let origin = Cache::start(|_| Deed::Hang);
+    let members = vec![
+        member("c-1", cache.address, "cache", "active"),
+        member("o-1", origin.address, "origin", "active"),
+    ];
+    let configuration = configuration(log.address, members);
+    let folder = std::env::temp_dir().join(format!("tindoor-signed-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let [named, fronts, keys] = ["c.json", "f.json", "keys.json"].map(|name| folder.join(name));
+    let secret = "A".repeat(43);
+    let set = json!({"keys": [{"kid": "a", "kty": "oct", "alg": "HS256", "k": secret}]}).to_string();
+    let allow = |mode| std::fs::set_permissions(&keys, std::fs::Permissions::from_mode(mode)).unwrap();
+    std::fs::write(&keys, &set).unwrap();
+    allow(0o644);
+    let told = json!({"call": {"listen": "127.0.0.1:0"}, "links": {
+        "keys": keys, "base": "https://videos.example", "skew_ms": 2000, "offerings": ["pages"],
+        "forms": [{"form": "hmac", "from": {"query": "t"}, "keys": ["a"]}]}});
+    std::fs::write(&named, configuration.to_string()).unwrap();
+    std::fs::write(&fronts, told.to_string()).unwrap();
+    let start = || {
+        let mut command = std::process::Command::new(program());
+        let output = command.arg("check").arg(&named).arg("--fronts").arg(&fronts).output().unwrap();
+        (output.status.code(), String::from_utf8(output.stderr).unwrap())
+    };
+    let (code, said) = start();
+    assert!(code == Some(1) && said.contains("others can read it") && said.contains("keys.json"), "{said}");
+    allow(0o600);
+    assert_eq!(start().0, Some(0));
+
+    let router = Router::start_with(&configuration, &Start { fronts: Some(told), ..Start::default() });
+    let ask = || {
+        let mut stream = TcpStream::connect(router.front("call")).unwrap();
+        let page =
+            format!("GET /v1/store/pages/{OBJECT}/0?t=exp=9999999999~acl=*~hmac={} HTTP/1.1", "0".repeat(64));
+        let head = format!("{page}\r\nx-ticket: 00000000000000d1\r\nconnection: close\r\n\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    };
+    let refused = ask();
+    assert!(
+        refused.starts_with("HTTP/1.1 403") && refused.contains("the signature is not the key's"),
+        "{refused}"
+    );
+    std::fs::write(
+        &keys,
+        "{\"keys\": [{\"kid\": \"a\", \"kty\": \"oct\", \"alg\": \"HS256\", \"k\": \"short\"}]}",
+    )
+    .unwrap();
+    router.hang_up();
+    let line =
+        router.log.wait("the reload", |log| log.iter().find(|l| l.contains("keys not read again")).cloned());
+    assert!(
+        line.contains("\"a\"") && !line.contains("short\""),
+        "it names the key and not its secret: {line}"
+    );
+    assert!(ask().starts_with("HTTP/1.1 403"));
+    assert_eq!(cache.count(), 0, "a refused view reaches no cache");
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::host::{
-    Asked, CacheNo, Fact, Facts, Host, ListForm, Listed, Note, Standing, Terms, Verdict, ViewNo,
+    Asked, CacheNo, Fact, Facts, Host, ListForm, Listed, Note, Pass, Standing, Terms, Verdict, ViewNo,
 };
 use crate::time::{Moment, Span};
 
@@ -413,11 +413,20 @@
         let held = Held { serial, lot, asked, end, dispatches, finished: false };
         self.views.resize_with(self.views.len().max(no.0 as usize + 1), || None);
         self.views[no.0 as usize] = Some(held);
-        if !asked.repeat {
+        if !asked.repeat && asked.pass == Pass::Free {
             self.asked.add((self.now, asked.offering));
         }
         self.alarm(end, no);
-        self.route(no);
+        // Whose link is refused never reaches a cache; who came early is told when it holds.
+        match asked.pass {
+            Pass::Free => return self.route(no),
+            Pass::Early(wait) => {
+                let rest = self.come_back().map(|_| wait.min(self.span("longest_come_back", Span::ZERO)));
+                self.host.turn_back(no, rest);
+            }
+            Pass::Lapsed | Pass::Refused => self.host.write_off(no),
+        }
+        self.left(no);
     }
 
     /// A streamed answer began: the dispatch belongs to the client now.
--- a/src/host.rs
+++ b/src/host.rs
@@ -42,6 +42,19 @@
     }
 }
 
+/// What the check of a client's link said, where links are checked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Pass {
+    /// It holds, or none is asked for.
+    #[default]
+    Free,
+    /// It will hold after this long.
+    Early(Span),
+    /// It held, and does no more.
+    Lapsed,
+    Refused,
+}
+
 /// What a view asks for.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
@@ -55,6 +68,7 @@
     pub repeat: bool,
     /// When and where it first may have run for an earlier view of the same mark.
     pub ran: Option<(Moment, CacheNo)>,
+    pub pass: Pass,
 }
 
 /// One line of the list of caches.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -47,6 +47,7 @@
     millis: u64,
     next: u32,
     repeats: bool,
+    pass: Pass,
     kb: Option<f32>,
 }
 
@@ -114,7 +115,7 @@
     let seed = more.iter().find(|fact| fact.0 == "seed").map_or(7, |fact| fact.1 as u64);
     let mut control = Control::start(Fake::default(), facts, seed, Moment::at_micros(START)).unwrap();
     control.listed(ListForm::Whole, list);
-    Router { control, millis: 0, next: 0, repeats: false, kb: None }
+    Router { control, millis: 0, next: 0, repeats: false, pass: Pass::Free, kb: None }
 }
 
 impl Router {
@@ -130,8 +131,16 @@
 
     /// Takes a view for an object, group 9, with so long to answer.
     fn view_within(&mut self, offering: u16, object: u64, millis: u64) -> Vec<Act> {
-        let asked =
-            Asked { object, part: 0, group: 9, offering, kb: self.kb, repeat: self.repeats, ran: None };
+        let asked = Asked {
+            object,
+            part: 0,
+            group: 9,
+            offering,
+            kb: self.kb,
+            repeat: self.repeats,
+            ran: None,
+            pass: self.pass,
+        };
         self.next += 1;
         self.control.view(ViewNo(self.next), asked, Span::millis(millis));
         self.wait(0)
@@ -840,3 +849,25 @@
     assert!(acts.iter().any(|act| matches!(act, Act::CallOff(..))));
     assert!(!acts.iter().any(|act| matches!(act, Act::Read { .. })), "{acts:?}");
 }
+
+#[test]
+fn whose_link_is_refused_reaches_no_cache_and_who_is_early_is_told_when_to_come() {
+    let mut r = router(&fleet(), &[("come_back_told", 1.0), ("longest_come_back", 5e5)]);
+    for (pass, act) in [
+        (Pass::Refused, "written off"),
+        (Pass::Lapsed, "written off"),
+        (Pass::Early(Span::millis(300)), "turned back for 300"),
+        (Pass::Early(Span::millis(9000)), "turned back for 500"),
+    ] {
+        r.pass = pass;
+        let acts = r.view(0, 7);
+        let said = match &acts[..] {
+            [Act::WriteOff(_)] => "written off".to_string(),
+            [Act::TurnBack(_, Some(rest))] => format!("turned back for {}", rest.as_micros() / 1000),
+            other => format!("{other:?}"),
+        };
+        assert_eq!(said, act, "{pass:?}");
+    }
+    r.pass = Pass::Free;
+    assert!(!matches!(&r.view(0, 7)[..], [Act::WriteOff(_)]));
+}
