tindoor keys and link: keys made, listed and rotated, links signed, checked and explained

Need: operators and scripts rotate keys and look at links without a program of their own.

Key files are written beside and renamed, for their owner alone; a rotation lets what was signed live for a stated overlap and makes no end later. A change that would not be read whole is refused. One story walks all of it.

--- a/crates/links/src/keys.rs
+++ b/crates/links/src/keys.rs
@@ -6,7 +6,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
-use ring::{hmac, rand, signature};
+use ring::{hmac, signature};
 use serde::Deserialize;
 use zeroize::{Zeroize, Zeroizing};
 
@@ -258,12 +258,3 @@
         self.iter().filter(|key| key.signs && key.holds_at(unix)).max_by_key(|key| (key.until, key.from))
     }
 }
-
-/// A new secret for HMAC, as base64url; for a key set of one's own.
-pub fn new_secret() -> Zeroizing<String> {
-    let mut secret = Zeroizing::new([0; 32]);
-    // The system's generator is there, or nothing that needs secrets may go on.
-    rand::SecureRandom::fill(&rand::SystemRandom::new(), &mut secret[..])
-        .expect("the system's random numbers");
-    Zeroizing::new(URL_SAFE_NO_PAD.encode(&secret[..]))
-}
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod claims;
 pub mod clock;
+pub mod edit;
 pub mod hmac_form;
 pub mod keys;
 pub mod normal;
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -103,7 +103,7 @@
 }
 
 /// A key file that others can read is no secret: nothing of it is used.
-fn read_keys(path: &Path) -> Result<KeySet> {
+pub fn read_keys(path: &Path) -> Result<KeySet> {
     use std::os::unix::fs::PermissionsExt;
     let mode = std::fs::metadata(path).with_context(|| format!("{}", path.display()))?.permissions().mode();
     if mode & 0o077 != 0 {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod links;
 mod locate;
+mod operate;
 mod places;
 mod processor;
 mod router;
@@ -57,6 +58,8 @@
     }
     let done = match line.deed {
         Some(Deed::Check(files)) => check(&files).map(|()| println!("ok")),
+        Some(Deed::Keys(deed)) => operate::keys(deed),
+        Some(Deed::Link(deed)) => operate::link(deed),
         Some(Deed::Serve(files)) => start(files),
         None => start(line.files),
     };
--- a/crates/router/tests/signed.rs
+++ b/crates/router/tests/signed.rs
@@ -112,3 +112,53 @@
         assert!(videos[kind][1].as_u64() > Some(0) && videos[kind][0] == videos[kind][1], "{videos}");
     }
 }
+
+#[test]
+fn an_operator_makes_rotates_and_lists_keys_and_signs_checks_and_explains_links() {
+    let folder = std::env::temp_dir().join(format!("tindoor-operate-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let keys = folder.join("keys.json").display().to_string();
+    let run = |line: &[&str]| {
+        let output = std::process::Command::new(program()).args(line).output().unwrap();
+        let said = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+        (output.status.success(), said.trim().to_string())
+    };
+    assert!(run(&["keys", "new", &keys, "autumn"]).0);
+    assert!(run(&["keys", "new", &keys, "hall", "--algorithm", "eddsa", "--days", "30"]).0);
+    let mode = std::fs::metadata(&keys).unwrap().permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    let url = "https://videos.example/lessons/3";
+    let sign = |form: &str, key: &str, url: &str| {
+        let (good, token) =
+            run(&["link", "sign", &keys, url, "--form", form, "--key", key, "--seconds", "600"]);
+        assert!(good, "{token}");
+        token
+    };
+    let check =
+        |form: &str, url: &str, token: &str| run(&["link", "check", &keys, url, "--form", form, token]);
+    for (form, key, signed) in [
+        ("hmac", "autumn", url),
+        ("hmac", "autumn", "https://videos.example/lessons/*"),
+        ("uri-signing", "autumn", url),
+        ("uri-signing", "hall", url),
+        ("prefix", "hall", "https://videos.example/lessons/"),
+    ] {
+        let token = sign(form, key, signed);
+        let (good, said) = check(form, url, &token);
+        assert!(good && said.contains(&format!("by the key {key}")), "{form}: {said}");
+        let (good, said) = check(form, "https://videos.example/exams/3", &token);
+        assert!(!good, "{form}: {said}");
+        assert!(run(&["link", "explain", &token]).1.contains("not checked"));
+    }
+    let before = sign("hmac", "autumn", url);
+    assert!(run(&["keys", "rotate", &keys, "winter", "--overlap", "3600"]).0);
+    let (good, list) = run(&["keys", "list", &keys]);
+    assert!(
+        good && list.contains("autumn\tHS256\tchecks") && list.contains("winter\tHS256\tsigns"),
+        "{list}"
+    );
+    assert!(check("hmac", url, &before).0, "what was signed lives on for the overlap");
+    assert!(!run(&["keys", "new", &keys, "winter"]).0, "an id names one key");
+    std::fs::remove_dir_all(folder).unwrap();
+}
