--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -29,6 +29,8 @@
     /// Caches by id, from when they were told to drain or be gone.
     drained: HashMap<String, Instant>,
     dead: Vec<usize>,
+    /// How far the caches' clocks are off, in seconds, where they tell the time.
+    clock_off: Option<i64>,
     sent_after_drain: u64,
     served_after_purge: u64,
     repeated: u64,
@@ -110,7 +112,11 @@
     }
     let date = unix_ms() - (now - fetched).as_millis() as u64;
     let headers = format!("X-Remark: {remark}\r\nX-Version: 4be0c1927d55a6f3\r\nX-Origin-Date: {date}\r\n");
-    Deed::Say(answer(200, &headers, path.as_bytes()))
+    let said = locked.clock_off.map(|off| {
+        let unix = (unix_ms() as i64 / 1000 + off) as u64;
+        format!("Date: {}\r\n", httpdate::fmt_http_date(UNIX_EPOCH + Duration::from_secs(unix)))
+    });
+    Deed::Say(answer(200, &(headers + &said.unwrap_or_default()), path.as_bytes()))
 }
 
 fn saved() -> Vec<u8> {
@@ -200,6 +206,12 @@
         }
     }
 
+    /// Has all caches tell a time that is off by so many seconds: as if the router's own were off the other
+    /// way.
+    pub fn tell_time(&self, off: i64) {
+        self.record.lock().unwrap().clock_off = Some(off);
+    }
+
     /// How often caches were asked for that view.
     pub fn dispatches(&self, ticket: &str) -> u64 {
         self.record.lock().unwrap().dispatches.get(ticket).copied().unwrap_or_default()
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -57,6 +57,9 @@
         /// How far the signers' clocks are off, in seconds.
         #[arg(long, default_value_t = 0, allow_hyphen_values = true)]
         signer_off: i64,
+        /// Caches and signers agree on a time that is off the router's by so many seconds.
+        #[arg(long, allow_hyphen_values = true)]
+        router_off: Option<i64>,
         /// Takes one guard out (a build of the router for tests only): links, revoked.
         #[arg(long)]
         without: Option<String>,
@@ -96,9 +99,9 @@
                 .and_then(|faults| called::run(&Plan { seed, views, seconds, faults, without, clients }));
             (common, figures)
         }
-        Experiment::Signed { common, signer_off, without } => {
+        Experiment::Signed { common, signer_off, router_off, without } => {
             let Common { seed, views, .. } = common;
-            (common, signed::run(&signed::Plan { seed, views, signer_off, without }))
+            (common, signed::run(&signed::Plan { seed, views, signer_off, router_off, without }))
         }
         Experiment::Choices { common, streams, pause_us } => {
             let figures = choices::run(common.seed, common.views, streams, Duration::from_micros(pause_us));
--- a/crates/lab/src/signed.rs
+++ b/crates/lab/src/signed.rs
@@ -57,6 +57,8 @@
     pub views: u64,
     /// How far the signers' clocks are off, in seconds.
     pub signer_off: i64,
+    /// Caches and signers agree on a time that is off the router's by so many seconds.
+    pub router_off: Option<i64>,
     pub without: Option<String>,
 }
 
@@ -103,10 +105,11 @@
     kind: &str,
     key: &str,
     revoked: bool,
-    signer_off: i64,
+    (signer_off, off): (i64, i64),
     chance: &mut Pcg64Mcg,
 ) -> (String, String, Must) {
-    let now = unix_ms() as i64 / 1000;
+    // The time that caches and signers agree on: the router has to judge by it, however its own clock stands.
+    let now = unix_ms() as i64 / 1000 + off;
     let signed = now + signer_off;
     let object = format!("{:016x}", chance.random_range(0x1000..0x1040u64));
     let path = format!("/v1/store/pages/{object}/{}", chance.random_range(0..4));
@@ -198,10 +201,28 @@
     let fronts = json!({"external_processing": {"listen": front}, "call": {"listen": call}, "links": links});
     let start =
         Start { fronts: Some(fronts), without: plan.without.clone(), log: Some("info"), ..Start::default() };
-    let router = Router::start_with(&configuration(fleet.log.address, fleet.members()), &start);
+    let mut told = configuration(fleet.log.address, fleet.members());
+    let mut free = told["settings"]["request_classes"][0].clone();
+    free["name"] = json!("free");
+    told["settings"]["request_classes"].as_array_mut().expect("a list").push(free);
+    told["settings"]["family_info"]["class_fresh"] = json!([8_000_000, 0, 0, 8_000_000]);
+    told["settings"]["family_info"]["goes_through"] = json!([false, true, false, false]);
+    let router = Router::start_with(&told, &start);
     fleet.log.asks(1);
     let proxy = runtime.block_on(Proxy::start(front, call));
-    let videos = runtime.block_on(videos(proxy.address, plan.views.min(64)));
+    let off = plan.router_off.unwrap_or_default();
+    if let Some(off) = plan.router_off {
+        // The router hears the time with the first answers; of pages that need no link it may serve any.
+        fleet.tell_time(off);
+        runtime.block_on(async {
+            for nth in 0..200u64 {
+                let path = format!("/v1/store/free/{:016x}/0", 0x2000 + nth);
+                let headers = "x-envoy-external-address: 10.1.1.1\r\n";
+                ask(proxy.address, &path, headers, &format!("{:016x}", 0x7000 + nth)).await;
+            }
+        });
+    }
+    let videos = runtime.block_on(videos(proxy.address, plan.views.min(64), off));
     let (figures, counts) = (Arc::new(Mutex::new(Figures::default())), Arc::new(Mutex::new(Counts::new())));
     let refused = Arc::new(Mutex::new(Vec::new()));
     for revoked in [false, true] {
@@ -224,8 +245,8 @@
                         let kind = KINDS[chance.random_range(0..KINDS.len())];
                         let key = if chance.random_bool(0.5) { "old" } else { "new" };
                         let ticket = format!("{:016x}", chance.random::<u64>());
-                        let (target, headers, must) =
-                            request(kind, key, revoked, plan.signer_off, &mut chance);
+                        let offs = (plan.signer_off, plan.router_off.unwrap_or_default());
+                        let (target, headers, must) = request(kind, key, revoked, offs, &mut chance);
                         let got = ask(address, &target, &headers, &ticket).await.map(|answer| answer.0);
                         let mut figures = figures.lock().unwrap();
                         figures.views += 1;
@@ -279,12 +300,12 @@
 
 /// Videos across the end of their links: of each kind of request after it, how many got what they must, of
 /// how many.
-async fn videos(address: SocketAddr, count: u64) -> BTreeMap<&'static str, [u64; 2]> {
+async fn videos(address: SocketAddr, count: u64, off: i64) -> BTreeMap<&'static str, [u64; 2]> {
     let mut tasks = Vec::new();
     for no in 0..count {
         tasks.push(tokio::spawn(async move {
             // By its clock it is over already; the stated skew lets it begin for a moment more.
-            let ends = unix_ms() as i64 / 1000 - 1;
+            let ends = unix_ms() as i64 / 1000 + off - 1;
             let text = format!("ip=10.1.0.0/16~st={}~exp={ends}~acl=/v1/store/pages/*", ends - 600);
             let link = hmac("new", &text, &text).replace('=', "%3d");
             let mut ticket = 0x5000_0000_0000_0000 + no * 16;
--- a/crates/router/src/choices.rs
+++ b/crates/router/src/choices.rs
@@ -250,7 +250,7 @@
             "withdraw" => guards.withdraw = false,
             "leases" => guards.leases = false,
             // Those of links are taken out there.
-            "links" | "revoked" => {}
+            "links" | "revoked" | "clock" => {}
             other => tracing::error!(guard = other, "no such guard"),
         }
         tracing::warn!(without, "a guard is taken out for an experiment");
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -165,6 +165,9 @@
     router.caches.purged();
     let now: Moment = router.decisions.clock.now();
     let ago = now.since(Clock::unix_ms(purge.time));
+    if let Some(links) = &router.links {
+        links.heard(0, purge.time, now.since(Moment::default()).as_micros() / 1000);
+    }
     router.decisions.tell(|control| control.purged(object, group, ago));
     router.choices.told(|call, _| match object {
         Some(object) => call.object == object,
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::net::{IpAddr, Ipv4Addr};
 use std::path::{Path, PathBuf};
+use std::time::UNIX_EPOCH;
 
 use anyhow::{Context, Result, bail};
 use serde::Deserialize;
@@ -12,6 +13,7 @@
 use tindoor_extproc::ask::{Headers, Offering};
 use tindoor_links::Format;
 use tindoor_links::claims::{Asked, Now, Refusal};
+use tindoor_links::clock::Clock;
 use tindoor_links::hmac_form::HmacForm;
 use tindoor_links::keys::KeySet;
 use tindoor_links::normal;
@@ -20,6 +22,8 @@
 use tindoor_links::uri_signing::UriSigning;
 use tindoor_links::verdicts::{Bounds, Refused, Verdicts};
 
+use crate::limits::Seldom;
+
 /// As the fronts file has it.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -74,6 +78,8 @@
 
 /// What playbacks are held to.
 const PLAYBACK: PlaybackBounds = PlaybackBounds { holds: 60, longest: 7200, after_end: 900, chain: 10_000 };
+/// The furthest that our clock is believed to be off, in milliseconds.
+const LONGEST_OFFSET: u64 = 15_000;
 /// The longest skew that may be allowed: beyond it a link hardly lapses.
 const LONGEST_SKEW: u64 = 60_000;
 
@@ -89,6 +95,9 @@
     playback: Option<String>,
     keys: RefCell<KeySet>,
     verdicts: RefCell<Verdicts>,
+    clock: RefCell<Clock>,
+    /// How often our clock was found to be off by more than the skew.
+    off: Seldom,
 }
 
 /// What came of a request's link.
@@ -148,6 +157,8 @@
             client: told.client,
             playback: told.playback.map(|told| told.cookie),
             keys: RefCell::new(keys),
+            clock: RefCell::new(Clock::new(LONGEST_OFFSET)),
+            off: Seldom::default(),
             verdicts: RefCell::new(Verdicts::new(Bounds::default(), (seed, u64::from_ne_bytes(secret)))),
         })
     }
@@ -184,7 +195,7 @@
         // Without an address it fits no token that is for one, and shares one budget with all such.
         let client = client.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
         let (keys, mut verdicts) = (self.keys.borrow(), self.verdicts.borrow_mut());
-        let now = Now { unix_ms, skew_ms: self.skew_ms };
+        let now = self.now(unix_ms);
         if without("links") {
             return Ok(Judged { path, pass: Pass::Free, why: None, playback: None });
         }
@@ -224,9 +235,40 @@
         Ok(Judged { path, pass: worst.0, why: Some(worst.1), playback: None })
     }
 
+    /// A party said a time; ours when its word came. Both in Unix milliseconds.
+    pub fn heard(&self, party: u64, theirs: u64, ours: u64) {
+        self.clock.borrow_mut().said(party, theirs, ours);
+    }
+
+    /// The same by an answer's `date` (RFC 9110), which is cut to whole seconds: no party is so put ahead of
+    /// its time.
+    pub fn heard_date(&self, party: u64, headers: &Headers, ours: u64) {
+        let date = headers.one("date").and_then(|date| httpdate::parse_http_date(date).ok());
+        let unix = date.and_then(|date| date.duration_since(UNIX_EPOCH).ok());
+        if let Some(unix) = unix {
+            self.heard(party, unix.as_millis() as u64, ours);
+        }
+    }
+
+    /// The time to judge by: ours, moved by what the middle of the others say; the skew stays what was
+    /// stated.
+    fn now(&self, unix_ms: u64) -> Now {
+        if without("clock") {
+            return Now { unix_ms, skew_ms: self.skew_ms };
+        }
+        let clock = self.clock.borrow();
+        if let Some(estimate) = clock.estimate()
+            && estimate.offset_ms.unsigned_abs() > self.skew_ms.max(1000)
+            && let Some(times) = self.off.told()
+        {
+            tracing::warn!(?estimate, times, "our clock is off by more than links may be");
+        }
+        clock.now(unix_ms, self.skew_ms)
+    }
+
     /// The cookie that has the next part pass, as `Set-Cookie` writes it.
     pub fn renewal(&self, playback: &Playback, unix_ms: u64) -> Option<String> {
-        let now = Now { unix_ms, skew_ms: self.skew_ms };
+        let now = self.now(unix_ms);
         let (name, token) = (self.playback.as_ref()?, playback.sign(&self.keys.borrow(), now)?);
         let (path, holds) = (playback.path(), playback.holds(now));
         Some(format!("{name}={token}; Path={path}; Max-Age={holds}; Secure; HttpOnly; SameSite=Lax"))
--- a/crates/router/src/processor.rs
+++ b/crates/router/src/processor.rs
@@ -257,7 +257,7 @@
     router.choices.call(&open, call);
 
     // The choice, or a refusal. A proxy that ends its stream meanwhile has given the request up.
-    loop {
+    let party = loop {
         let said = listen(&open, talk).await?;
         match &said {
             Say::Choice { choice, use_within, left } => {
@@ -271,7 +271,8 @@
                 // It may have been taken back while there was no room to send it.
                 if router.choices.leaves(&open, &said) {
                     talk.sender.send_data(bytes, false).map_err(|_| None)?;
-                    break;
+                    // Whose answer it will be: caches tell the time by it.
+                    break 1 + u64::from(choice.cache.0);
                 }
             }
             other => {
@@ -280,7 +281,7 @@
                 return drain(talk).await;
             }
         }
-    }
+    };
 
     // The choice is out: its report is the answer's headers.
     loop {
@@ -290,6 +291,9 @@
             Happened::Phase(phase) => match phase? {
                 None => return Ok(()),
                 Some(Phase::ResponseHeaders(headers)) => {
+                    if let Some(links) = &router.links {
+                        links.heard_date(party, &pairs(&headers), unix_ms(router));
+                    }
                     match ask::report(&pairs(&headers)) {
                         Ok(report) => router.choices.report(&open, report),
                         Err(fault) => {
--- a/crates/router/tests/signed.rs
+++ b/crates/router/tests/signed.rs
@@ -11,7 +11,8 @@
 use tindoor_lab::stand_in::*;
 
 fn experiment(signer_off: i64, without: Option<&str>) -> Figures {
-    signed::run(&Plan { seed: 4, views: 640, signer_off, without: without.map(str::to_string) }).unwrap()
+    let (router_off, without) = (None, without.map(str::to_string));
+    signed::run(&Plan { seed: 4, views: 640, signer_off, router_off, without }).unwrap()
 }
 
 #[test]
@@ -162,3 +163,15 @@
     assert!(!run(&["keys", "new", &keys, "winter"]).0, "an id names one key");
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+#[test]
+fn a_router_whose_clock_is_ten_seconds_off_judges_by_what_the_caches_agree_on() {
+    for off in [-10, 10] {
+        let (signer_off, router_off, without) = (0, Some(off), None);
+        let figures = signed::run(&Plan { seed: 5, views: 640, signer_off, router_off, without }).unwrap();
+        assert_eq!(figures.rules_broken, 0, "{off}: {}", figures.table());
+    }
+    let (signer_off, router_off, without) = (0, Some(10), Some("clock".to_string()));
+    let figures = signed::run(&Plan { seed: 5, views: 640, signer_off, router_off, without }).unwrap();
+    assert!(figures.more["other_than_must"].as_u64() > Some(0), "{}", figures.table());
+}
