--- a/crates/lab/src/signed.rs
+++ b/crates/lab/src/signed.rs
@@ -113,8 +113,11 @@
     let signed = now + signer_off;
     let object = format!("{:016x}", chance.random_range(0x1000..0x1040u64));
     let path = format!("/v1/store/pages/{object}/{}", chance.random_range(0..4));
-    let fields =
-        |begins: i64, ends: i64| format!("ip=10.1.0.0/16~st={begins}~exp={ends}~acl=/v1/store/pages/*");
+    // A token each: one that many clients use is refused to all but a few.
+    let own: u64 = chance.random();
+    let fields = |begins: i64, ends: i64| {
+        format!("ip=10.1.0.0/16~st={begins}~exp={ends}~acl=/v1/store/pages/*~data={own}")
+    };
     let plain = fields(signed - 30, signed + 600);
     let by_query = |target: &str, token: &str| format!("{target}?t={}", token.replace('=', "%3d"));
     // A client each: what one may have checked is bounded, and most of these tokens are bad.
@@ -133,7 +136,7 @@
             let id = if kind == "revoked" { "stolen" } else { "t1" };
             let container = "regex:https://videos\\.example/v1/store/pages/.*";
             let claims = json!({"cdniuc": container, "exp": signed + 600,
-                                "nbf": signed - 30, "jti": id, "cdniip": "10.1.0.0/16"});
+                                "nbf": signed - 30, "jti": id, "cdniip": "10.1.0.0/16", "note": own});
             let token = token(key, &claims);
             let must = if kind == "revoked" { Must::Refused } else { passes(signed - 30, signed + 600) };
             let target = match kind {
--- a/crates/links/src/claims.rs
+++ b/crates/links/src/claims.rs
@@ -34,6 +34,8 @@
     Client,
     #[error("the token is for another path")]
     Scope,
+    #[error("the token is used from too many addresses")]
+    Shared,
     /// It begins so many milliseconds from now.
     #[error("the token is not valid yet, in {0} ms")]
     Early(u64),
--- a/crates/links/src/verdicts.rs
+++ b/crates/links/src/verdicts.rs
@@ -79,11 +79,14 @@
     /// Signatures that a client may have checked at once, and a second. One that fails counts as four.
     pub burst: f64,
     pub rate: f64,
+    /// Clients that may use one token while its verdict is known: a link that is passed round is used from
+    /// many.
+    pub addresses: usize,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { verdicts: 1 << 17, known_ms: 60_000, clients: 1 << 16, burst: 200.0, rate: 50.0 }
+        Self { verdicts: 1 << 17, known_ms: 60_000, clients: 1 << 16, burst: 200.0, rate: 50.0, addresses: 8 }
     }
 }
 
@@ -91,6 +94,8 @@
     /// What the signature's check said: time, client and scope are judged anew each time.
     said: Result<Arc<Claims>, Refusal>,
     until: u64,
+    /// Who used it since it is known, as keys of clients.
+    clients: Vec<u128>,
 }
 
 struct Cost {
@@ -176,6 +181,10 @@
         let claims = said.map_err(Refused::Token)?;
         holds(&claims, keys, now).map_err(Refused::Token)?;
         match claims.judge(asked, now) {
+            // Counted only once it would pass: who may not use it takes no place of those who may.
+            Ok(_) if !self.is_one_of_few(digest, client_key(asked.client)) => {
+                Err(Refused::Token(Refusal::Shared))
+            }
             Ok(until) => Ok(Checked { claims, until }),
             Err(refusal) => {
                 if matches!(refusal, Refusal::Lapsed(_)) {
@@ -186,6 +195,19 @@
         }
     }
 
+    fn is_one_of_few(&mut self, digest: u128, client: u128) -> bool {
+        let most = self.bounds.addresses;
+        let Some(known) = self.known.get(digest) else { return true };
+        if known.clients.contains(&client) {
+            return true;
+        }
+        let room = known.clients.len() < most;
+        if room {
+            known.clients.push(client);
+        }
+        room
+    }
+
     fn check_anew(
         &mut self,
         format: &dyn Format,
@@ -215,7 +237,7 @@
                 claims.expires.map_or(u64::MAX, |at| at.saturating_mul(1000).saturating_add(now.skew_ms));
             until = until.min(ends);
         }
-        self.known.put(digest, Verdict { said: said.clone(), until });
+        self.known.put(digest, Verdict { said: said.clone(), until, clients: Vec::new() });
         Ok(said)
     }
 }
--- a/crates/links/tests/stories.rs
+++ b/crates/links/tests/stories.rs
@@ -346,6 +346,23 @@
     assert!(verdicts.check(&form, &keys, &good, &from(1), at(150)).is_ok(), "what is known costs nothing");
 }
 
+#[test]
+fn a_link_that_is_passed_round_serves_a_few_and_those_go_on() {
+    let (form, keys, target) = (UriSigning::default(), keys(), target("/a"));
+    let mut verdicts = Verdicts::new(Bounds { addresses: 3, ..Bounds::default() }, (1, 2));
+    let token = jwt(&json!({"cdniuc": "regex:.*", "cdniip": "10.0.0.0/16"}));
+    let mut from = |third, last, unix| {
+        let asked = Asked { client: IpAddr::from([10, 0, third, last]), ..asked(&target) };
+        verdicts.check(&form, &keys, &token, &asked, at(unix)).map(drop)
+    };
+    for last in 1..=3 {
+        assert_eq!(from(0, last, 150), Ok(()));
+    }
+    assert_eq!(from(0, 4, 150), Err(Refused::Token(Refusal::Shared)));
+    assert_eq!(from(0, 1, 150), Ok(()), "who was first goes on");
+    assert_eq!(from(0, 4, 211), Ok(()), "counted for as long as the verdict is known");
+}
+
 #[test]
 fn addresses_and_patterns_fit_what_they_say() {
     let holds = |prefix: &str, address: &str| Prefix::read(prefix).unwrap().holds(address.parse().unwrap());
