--- a/crates/router/tests/called.rs
+++ b/crates/router/tests/called.rs
@@ -49,9 +49,9 @@
 
 #[test]
 fn without_taking_back_what_has_not_left_a_drained_cache_is_still_sent_to() {
-    let figures = experiment(2, 900, "window,drain", Some("withdraw"));
+    let figures = experiment(2, 1500, "window,drain", Some("withdraw"));
     assert!(figures.sent_after_drain > 0 && figures.rules_broken > 0, "{}", figures.table());
-    clean(&experiment(2, 900, "window,drain", None));
+    clean(&experiment(2, 1500, "window,drain", None));
 }
 
 #[test]
