--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,9 +20,9 @@
 //!     ("drain_grace", 5e5), ("location", 1.0)];
 //! let facts = facts.map(|(name, value)| (name.to_string(), Fact::Number(value))).into();
 //! let mut control = Control::start(Printer, facts, 7, Moment::at_micros(0)).unwrap();
-//! let asked = Asked { object: 5, part: 0, group: 0, offering: 0, kb: None, repeat: false, ran: None, pass:
-//! Default::default() }; control.view(ViewNo(0), asked, Span::millis(900)); // no cache is listed: turned
-//! back
+//! let (ran, pass) = Default::default();
+//! let asked = Asked { object: 5, part: 0, group: 0, offering: 0, kb: None, repeat: false, ran, pass };
+//! control.view(ViewNo(0), asked, Span::millis(900)); // no cache is listed: turned back
 //! ```
 
 pub mod control;
