One accept loop for both fronts that only choose

Need: the external processor and the plain call accepted with the same lines, written twice.

callers::accept takes what serves a connection; bounds and behaviour unchanged.

--- /dev/null
+++ b/crates/router/src/callers.rs
@@ -0,0 +1,47 @@
+//! Accepting connections of proxies, the same for both fronts that only choose.
+
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+
+use async_io::{Async, Timer};
+
+use crate::router::Router;
+
+/// Accepts for as long as the router runs, and has each connection served until `talk` ends.
+pub async fn accept<F>(
+    router: Rc<Router>,
+    listener: Async<TcpListener>,
+    talk: impl Fn(Rc<Router>, Async<TcpStream>) -> F,
+) where
+    F: Future<Output = io::Result<()>> + 'static,
+{
+    let open = Rc::new(());
+    loop {
+        // What waits costs the others nothing.
+        if Rc::strong_count(&open) > router.limits.proxies {
+            Timer::after(router.limits.look_again).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                let (place, talk) = (Rc::clone(&open), talk(Rc::clone(&router), stream));
+                let served = async move {
+                    if let Err(what) = talk.await {
+                        tracing::debug!(%what, "a proxy's connection ended");
+                    }
+                    drop(place);
+                };
+                router.executor.spawn(served).detach();
+            }
+            Err(error) => {
+                if let Some(times) = router.no_room.told() {
+                    tracing::warn!(%error, times, "can't accept a proxy");
+                }
+                router.caches.sweep();
+                Timer::after(router.limits.look_again).await;
+            }
+        }
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,6 +1,7 @@
 //! tindoor on sockets: starts the router, and heeds signals: to read its configuration again, and to end.
 
 mod caches;
+mod callers;
 mod choices;
 mod client;
 mod clients;
@@ -190,11 +191,15 @@
     };
     if let Some(front) = fronts.external_processing {
         let listener = bind("external_processing", front.listen)?;
-        executor.spawn(processor::accept(Rc::clone(&router), listener, Rc::new(front.headers))).detach();
+        let names = Rc::new(front.headers);
+        let talk = move |router, stream| processor::converse(router, stream, Rc::clone(&names));
+        executor.spawn(callers::accept(Rc::clone(&router), listener, talk)).detach();
     }
     if let Some(front) = fronts.call {
         let listener = bind("call", front.listen)?;
-        executor.spawn(subrequests::accept(Rc::clone(&router), listener, Rc::new(front.headers))).detach();
+        let names = Rc::new(front.headers);
+        let talk = move |router, stream| subrequests::converse(router, stream, Rc::clone(&names));
+        executor.spawn(callers::accept(Rc::clone(&router), listener, talk)).detach();
     }
     let timed = Rc::clone(&router);
     executor.spawn(async move { timed.decisions.keep_time().await }).detach();
--- a/crates/router/src/processor.rs
+++ b/crates/router/src/processor.rs
@@ -2,7 +2,7 @@
 
 use std::future;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -38,40 +38,8 @@
 const UNIMPLEMENTED: u16 = 12;
 const UNAVAILABLE: u16 = 14;
 
-/// Accepts connections of proxies for as long as the router runs.
-pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>, names: Rc<Names>) {
-    let open = Rc::new(());
-    loop {
-        // What waits costs the others nothing.
-        if Rc::strong_count(&open) > router.limits.proxies {
-            Timer::after(router.limits.look_again).await;
-            continue;
-        }
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let _ = stream.get_ref().set_nodelay(true);
-                let (place, names, of) = (Rc::clone(&open), Rc::clone(&names), Rc::clone(&router));
-                let talk = async move {
-                    if let Err(what) = converse(&of, stream, names).await {
-                        tracing::debug!(%what, "a proxy's connection ended");
-                    }
-                    drop(place);
-                };
-                router.executor.spawn(talk).detach();
-            }
-            Err(error) => {
-                if let Some(times) = router.no_room.told() {
-                    tracing::warn!(%error, times, "can't accept a proxy");
-                }
-                router.caches.sweep();
-                Timer::after(router.limits.look_again).await;
-            }
-        }
-    }
-}
-
 /// One connection, until either side ends it.
-async fn converse(router: &Rc<Router>, stream: Async<TcpStream>, names: Rc<Names>) -> io::Result<()> {
+pub async fn converse(router: Rc<Router>, stream: Async<TcpStream>, names: Rc<Names>) -> io::Result<()> {
     let limits = &router.limits;
     let mut builder = h2::server::Builder::new();
     // Guards against one proxy's flood: streams, resets before they are taken, and headers are bounded by
@@ -114,7 +82,7 @@
             }
         };
         used = Instant::now();
-        let (router, names, busy) = (Rc::clone(router), Rc::clone(&names), Rc::clone(&busy));
+        let (router, names, busy) = (Rc::clone(&router), Rc::clone(&names), Rc::clone(&busy));
         let executor = Rc::clone(&router.executor);
         let call = async move {
             answer(&router, request, respond, &names).await;
--- a/crates/router/src/subrequests.rs
+++ b/crates/router/src/subrequests.rs
@@ -2,10 +2,10 @@
 //! know no more than sub-requests. It is a second, thin codec over the same table as the external processor.
 
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::rc::Rc;
 
-use async_io::{Async, Timer};
+use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use tindoor_calls::{Say, Stream};
 use tindoor_extproc::ask::{self, Headers, Names};
@@ -17,37 +17,6 @@
 use crate::router::Router;
 use crate::wanted::{Wanted, refused, unix_ms, wanted};
 
-/// Accepts connections for as long as the router runs.
-pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>, names: Rc<Names>) {
-    let open = Rc::new(());
-    loop {
-        if Rc::strong_count(&open) > router.limits.proxies {
-            Timer::after(router.limits.look_again).await;
-            continue;
-        }
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let _ = stream.get_ref().set_nodelay(true);
-                let (place, names, of) = (Rc::clone(&open), Rc::clone(&names), Rc::clone(&router));
-                let talk = async move {
-                    if let Err(what) = converse(&of, stream, &names).await {
-                        tracing::debug!(%what, "a caller's connection ended");
-                    }
-                    drop(place);
-                };
-                router.executor.spawn(talk).detach();
-            }
-            Err(error) => {
-                if let Some(times) = router.no_room.told() {
-                    tracing::warn!(%error, times, "can't accept a caller");
-                }
-                router.caches.sweep();
-                Timer::after(router.limits.look_again).await;
-            }
-        }
-    }
-}
-
 /// A request's head as it was read.
 struct Asked {
     path: String,
@@ -74,7 +43,8 @@
 }
 
 /// One connection: one request after another, each answered before the next is read.
-async fn converse(router: &Rc<Router>, mut stream: Async<TcpStream>, names: &Names) -> io::Result<()> {
+pub async fn converse(router: Rc<Router>, mut stream: Async<TcpStream>, names: Rc<Names>) -> io::Result<()> {
+    let (router, names) = (&router, &*names);
     let mut read = Vec::new();
     loop {
         let asked = match next(router, &mut stream, &mut read).await {
