A verdict belongs to its form as set up; a finished write is told to no refused link

Cause: found on reading the change again. Verdicts were known by the form's name, so that of two forms with other audiences or keys one's word passed for the other's. And a ticket that is over told a call whose link is refused what the write came to.

The verdict's hash holds what the form is set up with; who is refused by its link gets no word of another's view. The story of a thousand streams now has a lower bound, too.

--- a/crates/calls/src/table.rs
+++ b/crates/calls/src/table.rs
@@ -153,6 +153,11 @@
     pub figures: Figures,
 }
 
+/// A link that lapsed between two tries was good when the view began; one that never was is somebody else's.
+fn stranger(call: &Call) -> bool {
+    !matches!(call.pass, Pass::Free | Pass::Lapsed)
+}
+
 impl Calls {
     pub fn new(bounds: Bounds, guards: Guards, now: Moment) -> Self {
         Self {
@@ -197,7 +202,8 @@
             self.over.get(&call.ticket).copied().filter(|over| self.guards.tickets && over.until > now);
         if let Some(Over { say, .. }) = over {
             self.figures.turned_away += 1;
-            return hands.say(stream, say);
+            // What a write came to is for those whose link holds.
+            return hands.say(stream, if stranger(&call) { Say::WrittenOff(Why::Ticket) } else { say });
         }
         if self.views.len() >= self.bounds.views || self.over.len() >= self.bounds.over {
             return self.turn_away(hands, stream);
@@ -266,10 +272,7 @@
     fn again(&mut self, now: Moment, hands: &mut impl Hands, stream: Stream, call: Call, serial: Serial) {
         let Some(view) = self.views.get_mut(&serial) else { return };
         let what = |call: &Call| (call.offering, call.object, call.part, call.mark);
-        // A link that lapsed between two tries was good when the view began; one that never was is somebody
-        // else's.
-        let stranger = !matches!(call.pass, Pass::Free | Pass::Lapsed);
-        if call.attempt <= view.attempt || what(&call) != what(&view.call) || stranger {
+        if call.attempt <= view.attempt || what(&call) != what(&view.call) || stranger(&call) {
             self.figures.turned_away += 1;
             return hands.say(stream, Say::WrittenOff(Why::Ticket));
         }
--- a/crates/calls/tests/stories.rs
+++ b/crates/calls/tests/stories.rs
@@ -331,6 +331,12 @@
     world.report(4, Verdict::Done);
     world.call(5, save(7, 1, 77));
     assert!(matches!(world.said(5), Say::Known(_)), "the refused one took no mark away");
+    world.call(6, Call { pass: Pass::Refused, ..save(5, 4, 77) });
+    assert_eq!(
+        world.said(6),
+        Say::WrittenOff(Why::Ticket),
+        "nor does its ticket tell what the write came to"
+    );
 }
 
 #[test]
--- a/crates/links/src/hmac_form.rs
+++ b/crates/links/src/hmac_form.rs
@@ -77,6 +77,10 @@
         "hmac"
     }
 
+    fn terms(&self) -> &[String] {
+        &self.keys
+    }
+
     fn check(&self, token: &str, keys: &KeySet, asked: &Asked) -> Result<Claims, Refusal> {
         if token.len() > LONGEST {
             return Err(Refusal::Long);
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -22,6 +22,10 @@
 /// One form of tokens.
 pub trait Format {
     fn name(&self) -> &'static str;
+    /// What it is set up with, beside its name: what it says of a token may hang on these.
+    fn terms(&self) -> &[String] {
+        &[]
+    }
     /// What a token says, once it is read and its signature holds; time, client and scope are judged by the
     /// claims.
     fn check(&self, token: &str, keys: &KeySet, asked: &Asked) -> Result<Claims, Refusal>;
--- a/crates/links/src/uri_signing.rs
+++ b/crates/links/src/uri_signing.rs
@@ -125,6 +125,10 @@
         "uri-signing"
     }
 
+    fn terms(&self) -> &[String] {
+        self.audience.as_slice()
+    }
+
     fn check(&self, token: &str, keys: &KeySet, _: &Asked) -> Result<Claims, Refusal> {
         if token.len() > LONGEST {
             return Err(Refusal::Long);
--- a/crates/links/src/verdicts.rs
+++ b/crates/links/src/verdicts.rs
@@ -154,9 +154,11 @@
         self.known.len()
     }
 
+    /// Of the form as it is set up: two of one name may want other audiences or keys, and what one said of a
+    /// token must not pass for the other's word.
     fn digest(&self, format: &dyn Format, token: &str, path: &str) -> u128 {
         let mut hasher = SipHasher24::new_with_keys(self.seed.0, self.seed.1);
-        (format.name(), token, path).hash(&mut hasher);
+        (format.name(), format.terms(), token, path).hash(&mut hasher);
         hasher.finish128().as_u128()
     }
 
--- a/crates/links/tests/stories.rs
+++ b/crates/links/tests/stories.rs
@@ -346,6 +346,18 @@
     assert!(verdicts.check(&form, &keys, &good, &from(1), at(150)).is_ok(), "what is known costs nothing");
 }
 
+#[test]
+fn what_one_form_said_of_a_token_does_not_pass_for_anothers_word() {
+    let (keys, target) = (keys(), target("/a"));
+    let mut verdicts = Verdicts::new(Bounds::default(), (1, 2));
+    let token = jwt(&json!({"cdniuc": "regex:.*", "aud": "branch"}));
+    for (audience, passes) in [("branch", true), ("other", false), ("branch", true)] {
+        let form = UriSigning { audience: Some(audience.into()) };
+        let said = verdicts.check(&form, &keys, &token, &asked(&target), at(1));
+        assert_eq!(said.is_ok(), passes, "{audience}");
+    }
+}
+
 #[test]
 fn a_link_that_is_passed_round_serves_a_few_and_those_go_on() {
     let (form, keys, target) = (UriSigning::default(), keys(), target("/a"));
--- a/crates/router/tests/called.rs
+++ b/crates/router/tests/called.rs
@@ -326,7 +326,8 @@
 fn a_thousand_streams_that_a_peer_keeps_open_are_all_a_connection_may_hold() {
     let world = world();
     let front = world.router.front("external_processing");
-    assert!(peer::hold(front, 1100) <= 1024);
+    let held = peer::hold(front, 1100);
+    assert!((1000..=1024).contains(&held), "{held}");
     let outcome = peer::call(front, PROCESS, GRPC, vec![peer::page(1, &[]), peer::answer("200")]);
     assert_eq!((outcome.said.len(), outcome.code), (2, Some(0)));
 }
