A save whose choice never left its router is as new for the next view of its mark

Cause: a call that ended while its choice lay unsent left its mark as one that may have run, and a later try was then refused outside the window, though nothing had left.

The end of such a call clears it, as a withdrawal does.

--- a/crates/calls/src/table.rs
+++ b/crates/calls/src/table.rs
@@ -527,6 +527,10 @@
             }
             Stand::Out(lease) => {
                 self.figures.left_after += 1;
+                if !lease.sent {
+                    // It never left: it can't have run.
+                    view.ran = view.ran.filter(|ran| *ran != (lease.given, lease.choice.cache));
+                }
                 view.stand = Stand::Lapsed(lease, until);
             }
             _ => return,
--- a/crates/calls/tests/stories.rs
+++ b/crates/calls/tests/stories.rs
@@ -278,6 +278,7 @@
     world.call(1, save(5, 1, 77));
     world.order(1, 0, 2);
     let given = world.at();
+    assert!(world.leaves(1));
     world.end(1);
     world.pass(250);
     world.pass(10_000);
@@ -285,6 +286,17 @@
     assert!(world.fake.did.contains(&Did::Begin(Serial(2), Some((given, CacheNo(2))))));
 }
 
+#[test]
+fn a_save_whose_choice_never_left_is_as_new() {
+    let mut world = world();
+    world.call(1, save(5, 1, 77));
+    world.order(1, 0, 2);
+    world.end(1);
+    world.pass(250);
+    world.call(2, save(6, 1, 77));
+    assert!(world.fake.did.contains(&Did::Begin(Serial(2), None)));
+}
+
 #[test]
 fn a_save_that_surely_never_ran_is_as_new() {
     let mut world = world();
