--- /dev/null
+++ b/crates/council/src/lead.rs
@@ -0,0 +1,336 @@
+//! What the leader of the voters sees to: the list, the voters, their clocks, and the one change under way.
+
+use std::collections::BTreeMap;
+
+use tindoor::time::{Moment, Span};
+use tindoor_fleet::{Listed, Start};
+use tindoor_policy::{Entry, Finding, Probation, Proposal, Staged};
+
+use crate::frames::Command;
+use crate::node::Node;
+
+/// What a leader knows beyond what is agreed; the next one finds it out anew.
+pub struct Lead {
+    since: Moment,
+    term: u64,
+    /// What each router said of the change under way.
+    answers: BTreeMap<Start, Option<String>>,
+    of: u64,
+    /// What was proposed and may still be on its way.
+    proposed: Vec<(Entry, Moment)>,
+    /// When a change of voters was last proposed.
+    changed: Option<Moment>,
+    probation: Option<Probation>,
+}
+
+impl Lead {
+    fn new(now: Moment, term: u64) -> Self {
+        let (answers, proposed) = Default::default();
+        Self { since: now, term, answers, of: 0, proposed, changed: None, probation: None }
+    }
+}
+
+impl Node {
+    /// Everything a leader sees to, once a beat.
+    pub(crate) fn lead_on(&mut self, now: Moment) {
+        let term = self.voter.as_ref().map_or(0, |voter| voter.term());
+        let mut lead =
+            self.lead.take().filter(|lead| lead.term == term).unwrap_or_else(|| Lead::new(now, term));
+        let again = self.terms.beat * 6.0;
+        lead.proposed.retain(|(_, at)| now.since(*at) < again);
+        self.lead = Some(lead);
+        // A router that was just elected does not know yet all that is committed.
+        if self.agreed.fleet == 0 {
+            return;
+        }
+        self.see_to_list(now);
+        self.see_to_clocks(now);
+        self.see_to_voters(now);
+        self.see_to_change(now);
+        self.see_to_probation(now);
+    }
+
+    /// Proposes an entry, unless it is on its way already.
+    fn enter(&mut self, now: Moment, entry: Entry) {
+        let (Some(voter), Some(lead)) = (&mut self.voter, &mut self.lead) else { return };
+        if !lead.proposed.iter().any(|(known, _)| *known == entry) && voter.propose(&entry) {
+            lead.proposed.push((entry, now));
+        }
+    }
+
+    /// A command for the leader, which this router is.
+    pub(crate) fn take(&mut self, now: Moment, command: Command) {
+        if self.lead.is_none() {
+            let term = self.voter.as_ref().map_or(0, |voter| voter.term());
+            self.lead = Some(Lead::new(now, term));
+        }
+        match command {
+            Command::Join { start, listed, after } => {
+                if self.agreed.roll.get(start) != Some(&listed) {
+                    self.enter(now, Entry::Join { start, listed, after });
+                }
+            }
+            Command::Leave { start } => self.leaves(now, start, true),
+            Command::Forget { name } => {
+                if let Some(start) = self.agreed.roll.named(&name) {
+                    self.leaves(now, start, true);
+                }
+            }
+            Command::Answer { generation, start, objection } => {
+                let asked = self.agreed.staged.as_ref().is_some_and(|s| s.version.generation == generation);
+                if let Some(lead) = self.lead.as_mut().filter(|_| asked && self.agreed.roll.has(start)) {
+                    if lead.of != generation {
+                        lead.of = generation;
+                        lead.answers.clear();
+                    }
+                    lead.answers.insert(start, objection);
+                }
+                self.see_to_change(now);
+            }
+            Command::Propose(proposal) => {
+                if self.agreed.end_of(proposal.token).is_none() {
+                    self.enter(now, Entry::Propose(proposal));
+                }
+            }
+            Command::Withdraw { generation } => {
+                self.enter(now, Entry::CallOff { generation, why: "withdrawn".into() });
+            }
+            Command::Report { .. } => {}
+        }
+    }
+
+    fn leaves(&mut self, now: Moment, start: Start, ended: bool) {
+        if self.agreed.roll.has(start) {
+            self.enter(now, Entry::Leave { start, ended });
+        }
+    }
+
+    /// Lists that nobody can hold any more are retired, and those forgotten who were silent for very long.
+    fn see_to_list(&mut self, now: Moment) {
+        let held = self.terms.hold_out + self.terms.lease * 2.0 + self.terms.drift(self.terms.hold_out);
+        let over = |at: Moment| now.since(at) > held;
+        let oldest = self.agreed.roll.oldest_step();
+        if let Some(before) = oldest.filter(|step| self.seen_at(*step).is_some_and(over)) {
+            // All that are over by now, at once.
+            let last = self.seen.range(before..).take_while(|(_, at)| over(**at)).last();
+            let before = last.map_or(before, |(index, _)| *index);
+            // While a change is under way it may still be told by the old lists who could vouch for whom.
+            if self.agreed.staged.is_none() {
+                self.enter(now, Entry::Retire { before });
+            }
+        }
+        let since = self.lead.as_ref().map_or(now, |lead| lead.since);
+        let own = self.own.start;
+        let gone = |start: &&Start| **start != own && self.silence.lasts(**start, now, since) > held;
+        if let Some(start) = self.agreed.roll.listed().keys().find(gone).copied() {
+            self.leaves(now, start, false);
+        }
+    }
+
+    /// Each voter's clock is set against the fleet's time; the first one is the fleet's time.
+    fn see_to_clocks(&mut self, now: Moment) {
+        if self.agreed.staged.is_some() || !self.agreed.roll.has(self.own.start) {
+            return;
+        }
+        let voters = self.voters_listed();
+        if self.agreed.clocks.is_empty() {
+            return self.enter(now, Entry::Clock { of: self.own.start, ahead: Some(0) });
+        }
+        let near = self.terms.bound * 0.25;
+        let Some(time) = self.time(now).filter(|time| time.bound() <= near) else {
+            // Most clocks of the fleet's time are gone: it begins anew with this one, where nothing hangs on it.
+            let lost: Vec<Start> =
+                self.agreed.clocks.keys().copied().filter(|c| !voters.contains(c)).collect();
+            lost.into_iter().for_each(|of| self.enter(now, Entry::Clock { of, ahead: None }));
+            let alone = self.agreed.clocks.len() > 1 && !self.agreed.clocks.contains_key(&self.own.start);
+            let waited =
+                self.lead.as_ref().is_some_and(|lead| now.since(lead.since) > self.terms.lease * 4.0);
+            if alone && waited {
+                let silent: Vec<Start> = self.agreed.clocks.keys().copied().collect();
+                silent.into_iter().for_each(|of| self.enter(now, Entry::Clock { of, ahead: None }));
+            }
+            return;
+        };
+        for of in voters {
+            let reads = self.clocks.offset(&self.terms, of, now);
+            let Some(reads) = reads.filter(|reads| reads.bound() <= near) else { continue };
+            let ahead = match self.agreed.clocks.get(&of) {
+                None => {
+                    Some(reads.middle() + now.since(Moment::default()).as_micros() as i64 - time.middle())
+                }
+                Some(agreed) => {
+                    let strays = self.clocks.strays(&self.terms, &self.agreed.clocks, of, now);
+                    strays.map(|strays| agreed + strays)
+                }
+            };
+            if ahead.is_some() {
+                self.enter(now, Entry::Clock { of, ahead });
+                return;
+            }
+        }
+        let gone = self.agreed.clocks.keys().find(|clock| !self.is_voter(**clock)).copied();
+        if let Some(of) = gone.filter(|_| self.agreed.clocks.len() > 1) {
+            self.enter(now, Entry::Clock { of, ahead: None });
+        }
+    }
+
+    fn is_voter(&self, start: Start) -> bool {
+        let seat = self.agreed.roll.get(start).and_then(|listed| listed.seat);
+        seat.is_some_and(|seat| self.agreed.voters.contains(&seat))
+    }
+
+    fn voters_listed(&self) -> Vec<Start> {
+        self.agreed.roll.listed().keys().copied().filter(|start| self.is_voter(*start)).collect()
+    }
+
+    /// Keeps as many voters as are wanted, and replaces one that is gone: first a new one comes, as long as there
+    /// is one to come.
+    fn see_to_voters(&mut self, now: Moment) {
+        let lead = self.lead.as_ref().expect("it leads");
+        let soon = lead.changed.is_some_and(|at| now.since(at) < self.terms.beat * 8.0);
+        if soon || !self.agreed.roll.has(self.own.start) {
+            return;
+        }
+        let since = lead.since;
+        let patience = self.terms.lease * 4.0;
+        let there =
+            |start: Start| start == self.own.start || self.silence.lasts(start, now, since) < patience;
+        let seat_of = |listed: &Listed| listed.seat;
+        let roll = self.agreed.roll.listed();
+        let holder =
+            |seat: u64| roll.iter().find(|(_, listed)| listed.seat == Some(seat)).map(|(start, _)| *start);
+        let gone = self.agreed.voters.iter().copied().find(|seat| match holder(*seat) {
+            Some(start) => !there(start),
+            None => now.since(since) > patience,
+        });
+        let heard = |start: Start| {
+            self.silence.of(start, now, self.terms.beat * 8.0).is_some_and(|usual| usual < 3.0)
+        };
+        let free = |(start, listed): &(&Start, &Listed)| {
+            seat_of(listed).is_some_and(|seat| !self.agreed.voters.contains(&seat)) && heard(**start)
+        };
+        // One of a location that has none yet comes first, so that a lost location is never most of them.
+        let taken: Vec<u16> =
+            roll.iter().filter(|(start, _)| self.is_voter(**start)).map(|(_, l)| l.location).collect();
+        let candidate = roll.iter().filter(free).min_by_key(|(start, listed)| {
+            (taken.iter().filter(|location| **location == listed.location).count(), **start)
+        });
+        let candidate = candidate.and_then(|(_, listed)| listed.seat);
+        let wanted = self.limits.voters;
+        let change = match (candidate, gone) {
+            (Some(seat), None) if self.agreed.voters.len() < wanted => Some((seat, true)),
+            (Some(seat), Some(_)) if self.agreed.voters.len() <= wanted => Some((seat, true)),
+            (_, Some(seat)) if self.agreed.voters.len() > wanted => Some((seat, false)),
+            _ => None,
+        };
+        if let Some((seat, votes)) = change
+            && let Some(voter) = &mut self.voter
+            && voter.change(seat, votes)
+        {
+            self.lead.as_mut().expect("it leads").changed = Some(now);
+        }
+    }
+
+    /// The one change under way: decided once nobody objects and the silent can't go on by the old policy.
+    fn see_to_change(&mut self, now: Moment) {
+        let Some(staged) = self.agreed.staged.clone() else { return };
+        let generation = staged.version.generation;
+        match staged.at {
+            None => self.see_to_decision(now, &staged),
+            Some(at) => {
+                let passed = match self.time(now) {
+                    Some(time) => time.low > at.plus(self.terms.bound).0,
+                    // The fleet's time was lost: by the own clock it is surely over.
+                    None => self.turned.is_some_and(|(seen, _)| {
+                        let most = self.terms.lease * 3.0 + self.terms.bound * 6.0;
+                        now.since(seen) > most + self.terms.drift(most)
+                    }),
+                };
+                if passed {
+                    self.enter(now, Entry::Held { generation });
+                }
+            }
+        }
+    }
+
+    fn see_to_decision(&mut self, now: Moment, staged: &Staged) {
+        let (generation, index) = (staged.version.generation, staged.index);
+        let Some(lead) = self.lead.as_ref() else { return };
+        let none = BTreeMap::new();
+        let answers = if lead.of == generation { &lead.answers } else { &none };
+        let name = |start: &Start| self.agreed.roll.get(*start).map_or(start.to_string(), |l| l.name.clone());
+        if let Some((start, why)) = answers.iter().find_map(|(start, why)| Some((start, why.as_ref()?))) {
+            let why = format!("{}: {why}", name(start));
+            return self.enter(now, Entry::CallOff { generation, why });
+        }
+        let seen = self.seen_at(index).unwrap_or(now);
+        let waited = now.since(seen);
+        let (lease, hold_out) = (self.terms.lease, self.terms.hold_out);
+        let too_long = (lease + hold_out) * 2.0 + self.terms.drift(hold_out);
+        if waited > too_long {
+            return self.enter(now, Entry::CallOff { generation, why: "no decision in time".into() });
+        }
+        let all = self.agreed.roll.listed().keys().all(|start| answers.contains_key(start));
+        // The silent are waited for a little: they may have an objection. After that they go by it, or stay out.
+        let patient = lease * 0.5;
+        let decided = match self.agreed.roll.most_know(index, |start| answers.contains_key(&start)) {
+            _ if !self.guards.staged => true,
+            Ok(()) => all || waited >= patient,
+            // More than half of some list is silent: they may live on each other's words until the hold-out.
+            Err(superseded) => {
+                let since = self.seen_at(superseded).unwrap_or(seen);
+                now.since(since) > hold_out + self.terms.drift(hold_out) && waited >= patient
+            }
+        };
+        if decided && let Some(at) = self.ahead(now) {
+            self.enter(now, Entry::Decide { generation, at });
+        }
+    }
+
+    /// Judges the change on probation, and has it kept or undone.
+    fn see_to_probation(&mut self, now: Moment) {
+        let Some((generation, before)) = self.agreed.probation.clone() else {
+            if let Some(lead) = &mut self.lead {
+                lead.probation = None;
+            }
+            return;
+        };
+        let began = match self.turned {
+            Some((at, [_, new])) if new == generation => at,
+            // It was elected since: what it knows of before ends now.
+            _ => now,
+        };
+        let bounds = self.limits.probation;
+        let Some(lead) = &mut self.lead else { return };
+        if lead.probation.as_ref().is_none_or(|probation| probation.generation() != generation) {
+            lead.probation =
+                Some(Probation::begin(bounds, &self.tally, [before.generation, generation], began));
+        }
+        let finding = lead.probation.as_ref().expect("just begun").judge(&self.tally, now);
+        let words = match finding {
+            Finding::Open => return,
+            Finding::Harm { location, offering, before: was, after } => {
+                let note = format!(
+                    "in time at location {location}, offering {offering}: {was:.3} before, {after:.3} after"
+                );
+                if let Ok(proposal) = self.undoing(generation, "probation", &note) {
+                    // The same token for as long as this leader leads: it is proposed once.
+                    let token = generation.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+                    self.enter(now, Entry::Propose(Proposal { token, ..proposal }));
+                }
+                return;
+            }
+            Finding::Trouble { began_before: true } => "kept: trouble that had begun before",
+            Finding::Trouble { .. } => "kept: trouble everywhere alike",
+            Finding::NoHarm => "kept: no harm",
+            Finding::TooLittle => "kept: too little traffic to tell",
+        };
+        self.enter(now, Entry::Kept { generation, finding: words.into() });
+    }
+
+    /// How long a waiting change may wait at most, once faults are over.
+    pub fn ends_within(&self) -> Span {
+        let Self { terms, .. } = self;
+        (terms.lease + terms.hold_out) * 2.0 + terms.lease * 4.0
+    }
+}
--- /dev/null
+++ b/crates/council/src/lib.rs
@@ -0,0 +1,15 @@
+//! One router's part in its fleet, without I/O: a [`Node`] is told what came and what time it is, and hands out
+//! what is to be sent, written and checked. Agreement among voters is by the `raft` library; what is agreed is
+//! [`tindoor_policy::Agreed`]; what it lets a router do is reckoned by `tindoor_fleet`.
+//!
+//! What is promised, and why it holds, is in `docs/design/policy.md`.
+
+mod frames;
+mod lead;
+mod log;
+mod node;
+mod voter;
+
+pub use frames::{Body, Command, Frame, News, Unreadable};
+pub use log::{Kept, Write};
+pub use node::{Guards, Limits, Node, Out, Own, Status, Why};
--- /dev/null
+++ b/crates/council/src/node.rs
@@ -0,0 +1,934 @@
+//! One router's part in its fleet: what it knows, what that lets it do, and what it says to others.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use tindoor::time::{Moment, Span};
+use tindoor_fleet::{Clocks, FleetTime, Interval, Lease, Listed, Silence, Start, Terms, Word};
+use tindoor_policy::{Agreed, Bounds, Count, End, Entry, Policy, Proposal, Step, Tally, Version};
+
+use crate::frames::{Body, Command, Frame, News};
+use crate::lead::Lead;
+use crate::log::{Kept, Log, Write};
+use crate::voter::{Progress, Voter};
+
+/// Who this router is.
+#[derive(Clone, Debug)]
+pub struct Own {
+    pub start: Start,
+    pub name: String,
+    /// Where its peers reach it.
+    pub address: String,
+    pub location: u16,
+    /// Its number among voters, if it may be one: that of its folder, or its start's without one.
+    pub seat: Option<u64>,
+    /// The start before, where that one is proved to have ended.
+    pub after: Option<Start>,
+}
+
+/// How much of everything.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Voters that are wanted.
+    pub voters: usize,
+    /// Others that are asked each beat.
+    pub asks: usize,
+    /// Ticks in a beat.
+    pub ticks: u32,
+    /// Words of others in one answer.
+    pub words: usize,
+    /// Entries that are kept for those who know less, and sent at once.
+    pub entries: usize,
+    /// Questions without answer that are kept in mind.
+    pub open: usize,
+    /// Commands that wait for their end.
+    pub pending: usize,
+    /// Beats from one report to the next, and until a command is sent again.
+    pub report: u32,
+    pub again: u32,
+    /// Times a command is passed on.
+    pub hops: u8,
+    pub probation: Bounds,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            voters: 3,
+            asks: 2,
+            ticks: 5,
+            words: 256,
+            entries: 512,
+            open: 64,
+            pending: 16,
+            report: 4,
+            again: 2,
+            hops: 3,
+            probation: Bounds::default(),
+        }
+    }
+}
+
+/// All stand; an experiment takes one out to see that its audit notices.
+#[derive(Clone, Copy, Debug)]
+pub struct Guards {
+    /// Views are taken only while the lease holds.
+    pub lease: bool,
+    /// A change is decided a lease ahead, once the silent can't go on by the old policy.
+    pub staged: bool,
+    /// A proposal is made from what is in force.
+    pub compare: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Self {
+        Self { lease: true, staged: true, compare: true }
+    }
+}
+
+/// Why no view is taken now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Why {
+    /// It is not listed: it has just started, or was taken off the list.
+    NotListed,
+    /// Its lease is over: it can't know whether its policy still holds.
+    NoLease,
+    /// A change is near, and it can't tell the fleet's time well enough.
+    NoTime,
+    /// It can't go by what the others go by.
+    Unfit,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Out {
+    Send {
+        to: String,
+        frame: Frame,
+    },
+    Write(Write),
+    /// Say with [`Node::answer`] whether this router could go by that.
+    Check(Version),
+    /// For the log.
+    Step(Step),
+}
+
+/// What an operator is told.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    pub name: String,
+    pub start: String,
+    pub fleet: u64,
+    pub index: u64,
+    pub generation: u64,
+    pub hash: String,
+    /// None where views are taken.
+    pub out: Option<Why>,
+    pub lease_left_ms: u64,
+    pub routers: usize,
+    pub voters: Vec<String>,
+    pub leader: Option<String>,
+    /// Half the width of what is known of the fleet's time.
+    pub clock_bound_us: Option<u64>,
+    pub under_way: Option<String>,
+    pub on_probation: Option<u64>,
+}
+
+pub struct Node {
+    pub(crate) fleet: String,
+    pub(crate) own: Own,
+    pub(crate) terms: Terms,
+    pub(crate) limits: Limits,
+    pub(crate) guards: Guards,
+    pub(crate) agreed: Agreed,
+    /// The last entries that were taken in, without a gap up to the index.
+    ring: VecDeque<Vec<u8>>,
+    pub(crate) clocks: Clocks,
+    pub(crate) lease: Lease,
+    pub(crate) silence: Silence,
+    pub(crate) voter: Option<Voter>,
+    pub(crate) lead: Option<Lead>,
+    /// When lists, proposals and decisions were first seen here, by their index.
+    pub(crate) seen: BTreeMap<u64, Moment>,
+    pub(crate) tally: Tally,
+    /// When the last decision was seen, and between which generations.
+    pub(crate) turned: Option<(Moment, [u64; 2])>,
+    counts: BTreeMap<(u64, u16), Count>,
+    asked: BTreeMap<u64, Moment>,
+    reads: BTreeMap<u64, Moment>,
+    nonce: u64,
+    seeds: Vec<String>,
+    leader: Option<String>,
+    pending: VecDeque<Command>,
+    /// What this router says of the policy in force and of a change: why it could not go by it.
+    opinions: BTreeMap<u64, Option<String>>,
+    /// The newest generation that has decided a view here: there is no way back.
+    used: u64,
+    chance: Pcg64Mcg,
+    ticks: u32,
+    beats: u32,
+    pub(crate) out: Vec<Out>,
+}
+
+impl Node {
+    /// Takes up its part, with what was kept of its seat, if anything was. `seeds` are where to ask first.
+    #[expect(clippy::too_many_arguments, reason = "each is told once, at the start")]
+    pub fn start(
+        fleet: &str,
+        own: Own,
+        terms: Terms,
+        limits: Limits,
+        guards: Guards,
+        seeds: Vec<String>,
+        kept: Option<Kept>,
+        seed: u64,
+        now: Moment,
+    ) -> Result<Self, String> {
+        terms.check()?;
+        let mut agreed = Agreed::new();
+        agreed.compares = guards.compare;
+        let mut log = Log::default();
+        if let Some(kept) = kept {
+            log = Log::read(&kept).ok_or("what was kept of the log does not fit together")?;
+            if !log.snapshot_data().is_empty() {
+                agreed = postcard::from_bytes(log.snapshot_data()).map_err(|_| "a snapshot can't be read")?;
+                agreed.compares = guards.compare;
+            }
+        }
+        let voter = match own.seat {
+            Some(seat) => Some(Voter::sit(seat, log)?),
+            None => None,
+        };
+        let mut node = Self {
+            fleet: fleet.to_string(),
+            clocks: Clocks::of(own.start),
+            own,
+            terms,
+            limits,
+            guards,
+            agreed,
+            ring: VecDeque::new(),
+            lease: Lease::default(),
+            silence: Silence::default(),
+            voter,
+            lead: None,
+            seen: BTreeMap::new(),
+            tally: Tally::default(),
+            turned: None,
+            counts: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            nonce: 0,
+            seeds,
+            leader: None,
+            pending: VecDeque::new(),
+            opinions: BTreeMap::new(),
+            used: 0,
+            chance: Pcg64Mcg::seed_from_u64(seed),
+            ticks: 0,
+            beats: 0,
+            out: Vec::new(),
+        };
+        node.saw_all(now);
+        node.progress(now);
+        Ok(node)
+    }
+
+    /// Founds the fleet with this policy: once, by its operator. Says why it can't.
+    pub fn found(&mut self, now: Moment, policy: Policy) -> Result<u64, String> {
+        let Some(seat) = self.own.seat else { return Err("this router may not vote".into()) };
+        if self.agreed.fleet != 0 {
+            return Err(format!("fleet {:016x} is founded already", self.agreed.fleet));
+        }
+        let fleet = self.chance.random_range(1..u64::MAX);
+        let mut agreed = Agreed::new();
+        agreed.compares = self.guards.compare;
+        agreed.apply(1, Entry::Found { fleet, policy, seat });
+        let data = postcard::to_stdvec(&agreed).expect("plain values have a form");
+        let log = Log::begin(data, seat);
+        // Before anything else of it: the write that makes the log what it is.
+        self.out.push(Out::Write(log.whole()));
+        self.voter = Some(Voter::sit(seat, log)?);
+        self.agreed = agreed;
+        self.voter.as_mut().expect("just seated").stand();
+        self.progress(now);
+        Ok(fleet)
+    }
+
+    /// What is to be done since this was last asked.
+    pub fn take_out(&mut self) -> Vec<Out> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Whether nothing is to be done.
+    pub fn is_quiet(&self) -> bool {
+        self.out.is_empty()
+    }
+
+    /// How often [`tick`](Self::tick) is to be called.
+    pub fn tick_every(&self) -> Span {
+        self.terms.beat * (1.0 / f64::from(self.limits.ticks))
+    }
+
+    pub fn agreed(&self) -> &Agreed {
+        &self.agreed
+    }
+
+    pub fn own(&self) -> &Own {
+        &self.own
+    }
+
+    pub fn leads(&self) -> bool {
+        self.voter.as_ref().is_some_and(Voter::leads)
+    }
+
+    /// Which policy decides a view that is taken now; why none does.
+    pub fn standing(&mut self, now: Moment) -> Result<Arc<Policy>, Why> {
+        self.version(now).map(|version| Arc::clone(&version.policy))
+    }
+
+    /// The same, with its generation.
+    pub fn version(&mut self, now: Moment) -> Result<&Version, Why> {
+        if !self.agreed.roll.has(self.own.start) {
+            return Err(Why::NotListed);
+        }
+        if self.guards.lease && !self.lease.holds(now) {
+            return Err(Why::NoLease);
+        }
+        if self.clocks.is_upset() {
+            return Err(Why::NoTime);
+        }
+        let staged = self.agreed.staged.as_ref().and_then(|staged| Some((staged, staged.at?)));
+        let next = match staged {
+            Some((staged, _)) if staged.version.generation <= self.used => true,
+            Some((_, at)) => match self.clocks.time(&self.terms, &self.agreed.clocks, now) {
+                Some(time) if time.bound() <= self.terms.bound || time.low >= at.0 || time.high < at.0 => {
+                    time.middle() >= at.0
+                }
+                _ => return Err(Why::NoTime),
+            },
+            None => false,
+        };
+        let version = match staged.filter(|_| next) {
+            Some((staged, _)) => &staged.version,
+            None => self.agreed.in_force.as_ref().ok_or(Why::NotListed)?,
+        };
+        if self.opinions.get(&version.generation).is_some_and(Option::is_some) {
+            return Err(Why::Unfit);
+        }
+        self.used = self.used.max(version.generation);
+        Ok(version)
+    }
+
+    /// The policy that decides views, whether or not this router may take any: for what is told of it.
+    pub fn in_force(&self) -> Option<&Version> {
+        self.agreed.in_force.as_ref()
+    }
+
+    /// The fleet's time now, with its bound.
+    pub fn time(&self, now: Moment) -> Option<Interval> {
+        self.clocks.time(&self.terms, &self.agreed.clocks, now)
+    }
+
+    /// The own clock is seen to have jumped: nothing that was reckoned by it holds.
+    pub fn jumped(&mut self) {
+        self.clocks.jumped();
+        self.lease.lapse();
+        self.asked.clear();
+        self.reads.clear();
+    }
+
+    /// Whether this router could go by a change; why not. One that can't go by what is in force stays out.
+    pub fn answer(&mut self, now: Moment, generation: u64, objection: Option<String>) {
+        self.opinions.insert(generation, objection);
+        let (in_force, staged) = (self.agreed.generation(), self.agreed.staged.as_ref());
+        let staged = staged.map(|staged| staged.version.generation);
+        self.opinions.retain(|of, _| *of == in_force || Some(*of) == staged || *of == generation);
+        self.say_opinion(now);
+        self.progress(now);
+    }
+
+    /// Views that ended, decided under that generation.
+    pub fn count(&mut self, generation: u64, offering: u16, count: Count) {
+        self.counts.entry((generation, offering)).or_default().add(count);
+    }
+
+    /// Has the leader take this in: it is sent until its end is known.
+    pub fn command(&mut self, now: Moment, command: Command) -> Result<(), String> {
+        if self.pending.len() >= self.limits.pending {
+            return Err("too much is waiting for its end already".into());
+        }
+        self.pending.push_back(command.clone());
+        self.bring(now, 0, command);
+        self.progress(now);
+        Ok(())
+    }
+
+    /// Takes its name off the list: it takes no more views.
+    pub fn leave(&mut self, now: Moment) {
+        let start = self.own.start;
+        self.bring(now, 0, Command::Leave { start });
+        self.progress(now);
+    }
+
+    pub fn status(&mut self, now: Moment) -> Status {
+        let out = self.version(now).err();
+        let name = |seat: &u64| {
+            let mut listed = self.agreed.roll.listed().values();
+            listed
+                .find(|listed| listed.seat == Some(*seat))
+                .map_or(format!("{seat:016x}"), |l| l.name.clone())
+        };
+        let staged = self.agreed.staged.as_ref().map(|staged| {
+            let Version { generation, made_from, hash, .. } = &staged.version;
+            let state = if staged.at.is_some() { "decided" } else { "asked" };
+            format!("{generation} ({hash}, from {made_from}, by {}): {state}", staged.by)
+        });
+        Status {
+            name: self.own.name.clone(),
+            start: self.own.start.to_string(),
+            fleet: self.agreed.fleet,
+            index: self.agreed.index,
+            generation: self.agreed.generation(),
+            hash: self.agreed.in_force.as_ref().map(|version| version.hash.clone()).unwrap_or_default(),
+            out,
+            lease_left_ms: self.lease.left(now).as_micros() / 1000,
+            routers: self.agreed.roll.listed().len(),
+            voters: self.agreed.voters.iter().map(name).collect(),
+            leader: self.leader_address(),
+            clock_bound_us: self.time(now).map(|time| time.bound().as_micros()),
+            under_way: staged,
+            on_probation: self.agreed.probation.as_ref().map(|(generation, _)| *generation),
+        }
+    }
+
+    /// Time has passed: to be called [that often](Self::tick_every).
+    pub fn tick(&mut self, now: Moment) {
+        if let Some(voter) = &mut self.voter {
+            voter.tick();
+        }
+        self.ticks += 1;
+        if self.ticks >= self.limits.ticks {
+            self.ticks = 0;
+            self.beats += 1;
+            self.beat(now);
+        }
+        self.progress(now);
+    }
+
+    /// Those writes last, up to that number.
+    pub fn wrote(&mut self, now: Moment, number: u64) {
+        if let Some(voter) = &mut self.voter {
+            let progress = voter.wrote(number);
+            self.heed(now, progress);
+        }
+        self.progress(now);
+    }
+
+    /// A message came, whole.
+    pub fn heard(&mut self, now: Moment, frame: Frame) {
+        let Frame { fleet, from, address, body } = frame;
+        if fleet != self.fleet || from == self.own.start {
+            return;
+        }
+        let known = self.agreed.roll.has(from)
+            || !self.agreed.roll.has(self.own.start)
+            || self.seeds.contains(&address)
+            || self.agreed.roll.listed().values().any(|listed| listed.address == address);
+        match body {
+            Body::Ask { nonce, fleet, index, words } => {
+                self.tell(now, from, address, nonce, [fleet, index], words)
+            }
+            Body::Command(hops, command @ Command::Join { .. }) => self.bring(now, hops, command),
+            _ if !known => {}
+            Body::Tell { .. } => self.told(now, from, body),
+            Body::Raft(bytes) => {
+                if let Some(voter) = &mut self.voter {
+                    voter.step(&bytes);
+                }
+            }
+            Body::Command(hops, command) => self.bring(now, hops, command),
+        }
+        self.progress(now);
+    }
+
+    /// Seats' addresses, where they are listed.
+    fn seat_address(&self, seat: u64) -> Option<&str> {
+        let mut listed = self.agreed.roll.listed().values();
+        listed.find(|listed| listed.seat == Some(seat)).map(|listed| listed.address.as_str())
+    }
+
+    fn leader_address(&self) -> Option<String> {
+        let seat = self.voter.as_ref().map_or(0, Voter::leader);
+        match self.seat_address(seat).filter(|_| seat != 0) {
+            Some(address) => Some(address.to_string()),
+            None => self.leader.clone(),
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: &str, body: Body) {
+        let Own { start, address, .. } = &self.own;
+        let frame = Frame { fleet: self.fleet.clone(), from: *start, address: address.clone(), body };
+        self.out.push(Out::Send { to: to.to_string(), frame });
+    }
+
+    /// Carries out what the voter wants, until it wants nothing more.
+    fn progress(&mut self, now: Moment) {
+        while let Some(voter) = &mut self.voter {
+            let progress = voter.progress();
+            if !self.heed(now, progress) {
+                break;
+            }
+        }
+    }
+
+    fn heed(&mut self, now: Moment, progress: Progress) -> bool {
+        let Progress { messages, writes, installed, agreed, reads } = progress;
+        let some = !(messages.is_empty() && writes.is_empty() && installed.is_none() && agreed.is_empty());
+        self.out.extend(writes.into_iter().map(Out::Write));
+        if let Some(data) = installed {
+            self.whole(now, &data);
+        }
+        for (index, entry) in agreed {
+            self.take_in(now, index, entry);
+        }
+        for (number, index) in reads {
+            if let Some(at) = self.reads.remove(&number) {
+                self.lease.voters(&self.terms, self.agreed.index, Word { index, at });
+            }
+        }
+        for (seat, bytes) in messages {
+            if let Some(to) = self.seat_address(seat).map(str::to_string) {
+                self.send(&to, Body::Raft(bytes));
+            }
+        }
+        some
+    }
+
+    /// Takes in the next entry, however it came.
+    fn take_in(&mut self, now: Moment, index: u64, entry: Entry) {
+        if index != self.agreed.index + 1 {
+            return;
+        }
+        if matches!(
+            entry,
+            Entry::Join { .. } | Entry::Leave { .. } | Entry::Propose(_) | Entry::Decide { .. }
+        ) {
+            self.seen.insert(index, now);
+        }
+        if self.ring.len() == self.limits.entries {
+            self.ring.pop_front();
+        }
+        self.ring.push_back(postcard::to_stdvec(&entry).expect("plain values have a form"));
+        let changed = matches!(entry, Entry::Voters(_));
+        for step in self.agreed.apply(index, entry) {
+            match &step {
+                Step::Proposed(generation) => self.ask_check(*generation),
+                Step::Decided(generation, _) => {
+                    self.turned = Some((now, [self.agreed.generation(), *generation]))
+                }
+                _ => {}
+            }
+            self.out.push(Out::Step(step));
+        }
+        if let Some(voter) = &mut self.voter {
+            let agreed = &self.agreed;
+            voter.fold(index, changed, || postcard::to_stdvec(agreed).expect("plain values have a form"));
+        }
+    }
+
+    fn ask_check(&mut self, generation: u64) {
+        if let Some(staged) =
+            self.agreed.staged.as_ref().filter(|staged| staged.version.generation == generation)
+        {
+            self.out.push(Out::Check(staged.version.clone()));
+        }
+    }
+
+    /// All that is agreed, from somebody who knows more.
+    fn whole(&mut self, now: Moment, bytes: &[u8]) {
+        if let Ok(agreed) = postcard::from_bytes::<Agreed>(bytes) {
+            self.learn(now, agreed);
+        }
+    }
+
+    /// Takes over what is agreed, where it is further than what is known here.
+    pub fn learn(&mut self, now: Moment, mut agreed: Agreed) {
+        let same = self.agreed.fleet == 0 || self.agreed.fleet == agreed.fleet;
+        if !same || agreed.fleet == 0 || agreed.index <= self.agreed.index {
+            return;
+        }
+        agreed.compares = self.guards.compare;
+        let before = self.agreed.generation();
+        self.agreed = agreed;
+        self.ring.clear();
+        self.saw_all(now);
+        if self.agreed.generation() != before {
+            self.out.push(Out::Step(Step::Held(self.agreed.generation())));
+        }
+        if let Some(version) = self.agreed.in_force.clone() {
+            self.out.push(Out::Check(version));
+        }
+        if let Some(staged) = &self.agreed.staged {
+            self.out.push(Out::Check(staged.version.clone()));
+        }
+    }
+
+    /// What came with a whole state was seen no earlier than now.
+    fn saw_all(&mut self, now: Moment) {
+        self.seen.clear();
+        self.seen.extend(self.agreed.roll.oldest_step().map(|index| (index, now)));
+        self.seen.insert(self.agreed.index, now);
+        if let Some(staged) = &self.agreed.staged {
+            self.seen.insert(staged.index, now);
+        }
+    }
+
+    /// When that index was surely agreed already.
+    pub(crate) fn seen_at(&self, index: u64) -> Option<Moment> {
+        self.seen.range(index..).next().map(|(_, at)| *at)
+    }
+
+    /// Answers how things stand.
+    fn tell(
+        &mut self,
+        now: Moment,
+        _to: Start,
+        address: String,
+        nonce: u64,
+        [fleet, index]: [u64; 2],
+        words: bool,
+    ) {
+        let agreed = &self.agreed;
+        if agreed.fleet == 0 || fleet != 0 && fleet != agreed.fleet {
+            return;
+        }
+        let news = if fleet == 0 || index < agreed.index {
+            let lacks = agreed.index - index.min(agreed.index);
+            match fleet != 0 && lacks <= self.ring.len() as u64 {
+                true => {
+                    let entries: Vec<_> =
+                        self.ring.iter().skip(self.ring.len() - lacks as usize).cloned().collect();
+                    News::Entries { first: index + 1, entries }
+                }
+                false => News::Whole(postcard::to_stdvec(agreed).expect("plain values have a form")),
+            }
+        } else {
+            News::None
+        };
+        let age = |at: Moment| now.since(at).as_micros() + self.terms.drift(now.since(at)).as_micros();
+        let mut offsets = Vec::new();
+        if !self.clocks.is_upset() {
+            if self.own.seat.is_some_and(|seat| agreed.voters.contains(&seat)) {
+                offsets.push((self.own.start, Interval { low: 0, high: 0 }));
+            }
+            let others = agreed.clocks.keys().filter(|clock| **clock != self.own.start);
+            offsets.extend(
+                others.filter_map(|clock| Some((*clock, self.clocks.offset(&self.terms, *clock, now)?))),
+            );
+        }
+        let others = if words { self.lease.words(agreed.index, self.limits.words) } else { Vec::new() };
+        let body = Body::Tell {
+            nonce,
+            clock: now.since(Moment::default()).as_micros() as i64,
+            offsets,
+            index: agreed.index,
+            open: agreed.is_open(),
+            voters: self.lease.newest().map(|word| (word.index, age(word.at))),
+            words: others.into_iter().map(|(start, at)| (start, age(at))).collect(),
+            news,
+            leader: self.leader_address(),
+        };
+        self.send(&address, body);
+    }
+
+    /// An answer came.
+    fn told(&mut self, now: Moment, from: Start, body: Body) {
+        let Body::Tell { nonce, clock, offsets, index, open, voters, words, news, leader } = body else {
+            return;
+        };
+        // Only what was asked is of use: the moment of the question is what makes an age sure.
+        let Some(asked) = self.asked.remove(&nonce) else { return };
+        match news {
+            News::None => {}
+            News::Whole(bytes) => self.whole(now, &bytes),
+            News::Entries { first, entries } => {
+                for (at, bytes) in entries.iter().enumerate() {
+                    if let Ok(entry) = postcard::from_bytes(bytes) {
+                        self.take_in(now, first + at as u64, entry);
+                    }
+                }
+            }
+        }
+        self.silence.heard(from, now);
+        self.clocks.told(&self.terms, from, [asked, now], clock, &offsets);
+        if self.clocks.is_upset() {
+            self.lease.lapse();
+        }
+        let at = |age: u64| {
+            asked - Span::micros(age.saturating_add(self.terms.drift(Span::micros(age)).as_micros()))
+        };
+        if let Some((index, age)) = voters {
+            self.lease.voters(&self.terms, self.agreed.index, Word { index, at: at(age) });
+        }
+        if open {
+            self.lease.peer(from, Word { index, at: asked });
+            for (peer, age) in words {
+                self.lease.peer(peer, Word { index, at: at(age) });
+            }
+        }
+        if leader.as_deref() != Some(&self.own.address) {
+            self.leader = leader.or(self.leader.take());
+        }
+        self.reckon(now);
+    }
+
+    fn reckon(&mut self, now: Moment) {
+        // Peers' words are for when the voters' word is old: it costs a look at each.
+        if self.lease.left(now) > self.terms.lease * 0.6 && self.agreed.roll.listed().len() > 64 {
+            return;
+        }
+        let word = Word { index: self.agreed.index, at: now };
+        let open = self.agreed.is_open() && self.agreed.roll.has(self.own.start);
+        let listed = self.agreed.roll.listed().keys();
+        self.lease.reckon(&self.terms, word, open, listed, self.own.start);
+    }
+
+    /// A router of the list by lot, rarely one that has been silent for long.
+    fn some_peer(&mut self, now: Moment, voters_only: bool) -> Option<String> {
+        for _ in 0..4 {
+            let agreed = &self.agreed;
+            let others: Vec<(&Start, &Listed)> = match voters_only {
+                true => {
+                    let votes =
+                        |listed: &Listed| listed.seat.is_some_and(|seat| agreed.voters.contains(&seat));
+                    agreed
+                        .roll
+                        .listed()
+                        .iter()
+                        .filter(|(start, l)| **start != self.own.start && votes(l))
+                        .collect()
+                }
+                false => {
+                    let count = agreed.roll.listed().len();
+                    let at = self.chance.random_range(0..count.max(1));
+                    let nth = agreed.roll.listed().iter().nth(at);
+                    nth.into_iter().filter(|(start, _)| **start != self.own.start).collect()
+                }
+            };
+            if others.is_empty() {
+                continue;
+            }
+            let (start, listed) = others[self.chance.random_range(0..others.len())];
+            let silent = self.silence.of(*start, now, self.terms.beat * 4.0).is_some_and(|usual| usual > 4.0);
+            if !silent || self.chance.random_bool(0.25) {
+                return Some(listed.address.clone());
+            }
+        }
+        None
+    }
+
+    fn ask(&mut self, now: Moment, to: &str) {
+        while self.asked.len() >= self.limits.open {
+            self.asked.pop_first();
+        }
+        // Numbers go up, so the oldest is forgotten first; the first is drawn, so that an answer to an earlier
+        // start is no answer to this one.
+        self.nonce = if self.nonce == 0 { self.chance.random::<u64>() >> 1 } else { self.nonce + 1 };
+        self.asked.insert(self.nonce, now);
+        let words = self.lease.left(now) < self.terms.lease * 0.7;
+        let (fleet, index) = (self.agreed.fleet, self.agreed.index);
+        self.send(to, Body::Ask { nonce: self.nonce, fleet, index, words });
+    }
+
+    fn beat(&mut self, now: Moment) {
+        let listed = self.agreed.roll.has(self.own.start);
+        let mut whom: Vec<String> =
+            (0..self.limits.asks).filter_map(|_| self.some_peer(now, false)).collect();
+        let votes = self.own.seat.is_some_and(|seat| self.agreed.voters.contains(&seat));
+        if votes {
+            whom.extend(self.some_peer(now, true));
+        }
+        // One that knows nobody who answers asks where it was told to ask first.
+        if !listed || whom.is_empty() || self.chance.random_bool(0.1) {
+            let seeds: Vec<&String> = self.seeds.iter().filter(|seed| **seed != self.own.address).collect();
+            if !seeds.is_empty() {
+                whom.push(seeds[self.chance.random_range(0..seeds.len())].clone());
+            }
+        }
+        whom.sort_unstable();
+        whom.dedup();
+        whom.iter().for_each(|to| self.ask(now, to));
+        if !listed && self.agreed.fleet != 0 {
+            let Own { start, name, address, location, seat, after } = self.own.clone();
+            let listed = Listed { name, address, seat, location };
+            self.bring(now, 0, Command::Join { start, listed, after });
+        }
+        if self.beats.is_multiple_of(self.limits.again) {
+            self.say_opinion(now);
+            self.send_pending(now);
+        }
+        if self.beats.is_multiple_of(self.limits.report) && listed {
+            self.report(now);
+        }
+        if self.leads() {
+            // The voters' word: a majority confirms that nobody else leads.
+            let number = self.chance.random();
+            while self.reads.len() >= self.limits.open {
+                self.reads.pop_first();
+            }
+            self.reads.insert(number, now);
+            self.voter.as_mut().expect("it leads").read(number);
+            self.lead_on(now);
+        } else {
+            self.lead = None;
+        }
+        self.reckon(now);
+        self.forget(now);
+    }
+
+    /// Memory stays bounded by the list.
+    fn forget(&mut self, now: Moment) {
+        let agreed = &self.agreed;
+        let seats: Vec<Start> = agreed
+            .roll
+            .listed()
+            .iter()
+            .filter(|(_, listed)| listed.seat.is_some_and(|seat| agreed.voters.contains(&seat)))
+            .map(|(start, _)| *start)
+            .collect();
+        self.clocks.keep(|clock| agreed.clocks.contains_key(&clock) || seats.contains(&clock));
+        self.lease.keep(|start| agreed.roll.has(start));
+        self.silence.keep(|start| agreed.roll.has(start));
+        let oldest =
+            agreed.roll.oldest_step().into_iter().chain(agreed.staged.as_ref().map(|s| s.index)).min();
+        // The last few are kept in any case.
+        while self.seen.len() > 8
+            && self.seen.keys().next().is_some_and(|first| oldest.is_none_or(|o| *first < o))
+        {
+            self.seen.pop_first();
+        }
+        let _ = now;
+    }
+
+    fn say_opinion(&mut self, now: Moment) {
+        let asked = self.agreed.staged.as_ref().filter(|staged| staged.at.is_none());
+        let Some(generation) = asked.map(|staged| staged.version.generation) else { return };
+        let Some(objection) = self.opinions.get(&generation).cloned() else { return };
+        // One whose time is not sure enough can't confirm.
+        let sure = self.time(now).is_some_and(|time| time.bound() <= self.terms.bound * 0.5);
+        if objection.is_none() && !sure || !self.agreed.roll.has(self.own.start) {
+            return;
+        }
+        self.bring(now, 0, Command::Answer { generation, start: self.own.start, objection });
+    }
+
+    fn send_pending(&mut self, now: Moment) {
+        let agreed = &self.agreed;
+        self.pending.retain(|command| match command {
+            Command::Propose(proposal) => {
+                let under_way = agreed.staged.as_ref().is_some_and(|staged| staged.token == proposal.token);
+                !under_way && agreed.end_of(proposal.token).is_none()
+            }
+            Command::Withdraw { generation } => {
+                let at = |staged: &tindoor_policy::Staged| {
+                    staged.at.is_none() && staged.version.generation == *generation
+                };
+                agreed.staged.as_ref().is_some_and(at)
+            }
+            Command::Forget { name } => agreed.roll.named(name).is_some(),
+            _ => false,
+        });
+        for command in self.pending.clone() {
+            self.bring(now, 0, command);
+        }
+    }
+
+    /// Tells the voters how views ended here, and that this router is there.
+    fn report(&mut self, now: Moment) {
+        let counts: Vec<_> = std::mem::take(&mut self.counts)
+            .into_iter()
+            .map(|((of, offering), n)| (of, offering, n))
+            .collect();
+        let report = Command::Report { start: self.own.start, location: self.own.location, counts };
+        let seats = self.agreed.voters.clone();
+        for seat in seats {
+            if self.own.seat == Some(seat) {
+                self.reported(now, &report);
+            } else if let Some(to) = self.seat_address(seat).map(str::to_string) {
+                self.send(&to, Body::Command(self.limits.hops, report.clone()));
+            }
+        }
+    }
+
+    fn reported(&mut self, now: Moment, report: &Command) {
+        let Command::Report { start, location, counts } = report else { return };
+        if !self.agreed.roll.has(*start) {
+            return;
+        }
+        self.silence.heard(*start, now);
+        let kept = self.limits.probation.before + self.limits.probation.lasts + Span::secs(5.0);
+        for (generation, offering, count) in counts {
+            self.tally.add(now, kept, *generation, (*location, *offering), *count);
+        }
+    }
+
+    /// Brings a command to the leader: here, or a step nearer.
+    fn bring(&mut self, now: Moment, hops: u8, command: Command) {
+        if matches!(command, Command::Report { .. }) {
+            return self.reported(now, &command);
+        }
+        if self.leads() {
+            return self.take(now, command);
+        }
+        if hops >= self.limits.hops {
+            return;
+        }
+        let leader = self.leader_address().filter(|leader| *leader != self.own.address);
+        let to = leader.or_else(|| self.some_peer(now, false)).or_else(|| {
+            let seeds: Vec<&String> = self.seeds.iter().filter(|seed| **seed != self.own.address).collect();
+            (!seeds.is_empty()).then(|| seeds[self.chance.random_range(0..seeds.len())].clone())
+        });
+        if let Some(to) = to {
+            self.send(&to, Body::Command(hops + 1, command));
+        }
+    }
+
+    /// How a proposal ended, by its token.
+    pub fn end_of(&self, token: u64) -> Option<(Option<u64>, End)> {
+        self.agreed.end_of(token).map(|past| (past.generation, past.end.clone()))
+    }
+
+    /// A number for a proposal.
+    pub fn token(&mut self) -> u64 {
+        self.chance.random()
+    }
+
+    /// A proposal to undo a generation: the policy before it, as a change of its own.
+    pub fn undoing(&mut self, generation: u64, by: &str, note: &str) -> Result<Proposal, String> {
+        match &self.agreed.probation {
+            Some((on, before)) if *on == generation => {
+                let (policy, token) = ((*before.policy).clone(), self.chance.random());
+                let (by, note) = (by.to_string(), note.to_string());
+                Ok(Proposal { token, made_from: generation, policy, undoes: Some(generation), by, note })
+            }
+            _ => Err(format!("generation {generation} is not on probation: propose the old values instead")),
+        }
+    }
+
+    /// When a decision is to hold, if it were made now.
+    pub(crate) fn ahead(&self, now: Moment) -> Option<FleetTime> {
+        let time = self.time(now)?;
+        if !self.guards.staged {
+            return Some(FleetTime(time.middle()));
+        }
+        if time.bound() > self.terms.bound * 0.5 {
+            return None;
+        }
+        let lease = self.terms.lease + self.terms.drift(self.terms.lease);
+        Some(FleetTime(time.high).plus(lease + self.terms.bound * 2.0))
+    }
+}
--- /dev/null
+++ b/crates/council/src/voter.rs
@@ -0,0 +1,267 @@
+//! One voter: the `raft` library, stepped, with what it wants written and sent in the order that it needs.
+
+use std::collections::VecDeque;
+
+use protobuf::Message as _;
+use raft::eraftpb::{ConfChange, ConfChangeType, ConfChangeV2, ConfState, EntryType, Message};
+use raft::{ProgressState, RawNode, SnapshotStatus, StateRole};
+use tindoor_policy::Entry;
+
+use crate::log::{Log, Write};
+
+/// Ticks until a voter that hears nothing stands for election, and between a leader's heartbeats.
+const ELECTION: usize = 12;
+const HEARTBEAT: usize = 3;
+
+/// Ticks until a snapshot that nothing is heard of is sent again.
+const SNAPSHOT: u64 = 10;
+
+/// Entries that are kept before they are folded into a snapshot.
+const FOLDED_AT: usize = 512;
+
+pub struct Voter {
+    raw: RawNode<Log>,
+    seat: u64,
+    /// What waits for its write, in order.
+    waiting: VecDeque<Waiting>,
+    ticks: u64,
+    /// What is to be folded once it counts as taken in: up to where, who votes there, and all that is agreed.
+    to_fold: Option<(u64, ConfState, Vec<u8>)>,
+    /// A snapshot that is to be written with what comes next.
+    folded: Option<Write>,
+}
+
+struct Waiting {
+    /// The library's number of it.
+    number: u64,
+    /// Whether there is a write that is not yet done.
+    writes: bool,
+    messages: Vec<Message>,
+    /// How far it has been taken in.
+    applied: u64,
+}
+
+/// What came of a step.
+#[derive(Default)]
+pub struct Progress {
+    /// To which seat, and the message.
+    pub messages: Vec<(u64, Vec<u8>)>,
+    pub writes: Vec<Write>,
+    /// A whole state in place of all before.
+    pub installed: Option<Vec<u8>>,
+    pub agreed: Vec<(u64, Entry)>,
+    /// A read that a majority confirmed: its number, and what was committed then.
+    pub reads: Vec<(u64, u64)>,
+}
+
+impl Voter {
+    /// Takes its seat with this log.
+    pub fn sit(seat: u64, log: Log) -> Result<Self, String> {
+        let told = raft::Config {
+            id: seat,
+            election_tick: ELECTION,
+            heartbeat_tick: HEARTBEAT,
+            applied: log.base(),
+            max_size_per_msg: 64 << 10,
+            max_inflight_msgs: 64,
+            check_quorum: true,
+            pre_vote: true,
+            max_uncommitted_size: 4 << 20,
+            ..raft::Config::default()
+        };
+        let quiet = slog::Logger::root(slog::Discard, slog::o!());
+        let raw = RawNode::new(&told, log, &quiet).map_err(|error| error.to_string())?;
+        let mut voter = Self { raw, seat, waiting: VecDeque::new(), ticks: 0, to_fold: None, folded: None };
+        voter.steady();
+        Ok(voter)
+    }
+
+    /// The library draws its election timeouts from the system: they are set from seat, term and ticks instead,
+    /// so that a simulated day replays exactly.
+    fn steady(&mut self) {
+        let mixed = self.seat ^ self.raw.raft.term.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (self.ticks >> 6);
+        let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+        let extra = ((mixed >> 32) as usize) % ELECTION;
+        self.raw.raft.set_randomized_election_timeout(ELECTION + extra);
+    }
+
+    pub fn tick(&mut self) {
+        self.ticks += 1;
+        self.raw.tick();
+        self.steady();
+        // A snapshot may have been lost, or refused by one that was not yet in it: the library waits for a word on
+        // it, for ever.
+        if self.ticks.is_multiple_of(SNAPSHOT) && self.leads() {
+            let sent =
+                self.raw.raft.prs().iter().filter(|(_, progress)| progress.state == ProgressState::Snapshot);
+            let sent: Vec<u64> = sent.map(|(seat, _)| *seat).collect();
+            sent.into_iter().for_each(|seat| self.raw.report_snapshot(seat, SnapshotStatus::Failure));
+        }
+    }
+
+    /// Stands for election at once: for a fleet that was just founded.
+    pub fn stand(&mut self) {
+        let _ = self.raw.campaign();
+        self.steady();
+    }
+
+    /// Takes in a message of another voter. What can't be read is dropped.
+    pub fn step(&mut self, bytes: &[u8]) {
+        if let Ok(message) = Message::parse_from_bytes(bytes)
+            && message.to == self.seat
+        {
+            let _ = self.raw.step(message);
+            self.steady();
+        }
+    }
+
+    pub fn leads(&self) -> bool {
+        self.raw.raft.state == StateRole::Leader
+    }
+
+    /// The seat of the leader; 0 where none is known.
+    pub fn leader(&self) -> u64 {
+        self.raw.raft.leader_id
+    }
+
+    pub fn term(&self) -> u64 {
+        self.raw.raft.term
+    }
+
+    /// False where it doesn't lead, or where too much is on its way.
+    pub fn propose(&mut self, entry: &Entry) -> bool {
+        let data = postcard::to_stdvec(entry).expect("plain values have a form");
+        self.raw.propose(Vec::new(), data).is_ok()
+    }
+
+    /// Has a seat vote, or no longer.
+    pub fn change(&mut self, seat: u64, votes: bool) -> bool {
+        let mut change = ConfChange::default();
+        let kind = if votes { ConfChangeType::AddNode } else { ConfChangeType::RemoveNode };
+        change.set_change_type(kind);
+        change.node_id = seat;
+        self.raw.propose_conf_change(Vec::new(), change).is_ok()
+    }
+
+    /// Asks what is committed, confirmed by a majority; the answer bears the same number.
+    pub fn read(&mut self, number: u64) {
+        self.raw.read_index(number.to_be_bytes().to_vec());
+    }
+
+    /// That write, and all before it, lasts.
+    pub fn wrote(&mut self, number: u64) -> Progress {
+        for waiting in self.waiting.iter_mut().filter(|waiting| waiting.number <= number) {
+            waiting.writes = false;
+        }
+        self.progress()
+    }
+
+    /// Folds what was applied into a snapshot, where there is much of it, or where it is `due`: a new voter takes
+    /// none from before it was one.
+    pub fn fold(&mut self, index: u64, due: bool, data: impl FnOnce() -> Vec<u8>) {
+        let log = self.raw.store();
+        if (due || log.len() >= FOLDED_AT && self.to_fold.is_none()) && index > log.base() {
+            self.to_fold = Some((index, log.conf.clone(), data()));
+            self.fold_now();
+        }
+    }
+
+    /// Folds what waits for it, once the library counts it as taken in: it reads its log up to there.
+    fn fold_now(&mut self) {
+        let applied = self.raw.raft.raft_log.applied;
+        if let Some((index, conf, data)) = self.to_fold.take_if(|(index, ..)| *index <= applied) {
+            let write = self.folded.get_or_insert_default();
+            self.raw.mut_store().compact(index, conf, data, write);
+        }
+    }
+
+    /// All that is due now.
+    pub fn progress(&mut self) -> Progress {
+        let mut progress = Progress::default();
+        loop {
+            self.release(&mut progress);
+            if !self.raw.has_ready() {
+                return progress;
+            }
+            let mut ready = self.raw.ready();
+            let number = ready.number();
+            let mut write = self.folded.take().unwrap_or_default();
+            let mut applied = 0;
+            if !ready.snapshot().is_empty() {
+                let snapshot = ready.snapshot().clone();
+                applied = snapshot.get_metadata().index;
+                progress.installed = Some(snapshot.data.to_vec());
+                progress.agreed.clear();
+                self.raw.mut_store().install(snapshot, &mut write);
+            }
+            let entries = ready.take_entries();
+            self.raw.mut_store().append(&entries, &mut write);
+            if let Some(hard) = ready.hs().cloned() {
+                self.raw.mut_store().set_hard(hard, &mut write);
+            }
+            send(ready.take_messages(), &mut progress);
+            let reads = ready
+                .take_read_states()
+                .into_iter()
+                .filter_map(|read| Some((u64::from_be_bytes(read.request_ctx.try_into().ok()?), read.index)));
+            progress.reads.extend(reads);
+            for entry in ready.take_committed_entries() {
+                let meant = match entry.get_entry_type() {
+                    EntryType::EntryNormal if entry.data.is_empty() => Entry::Nothing,
+                    // What can't be read was proposed by a newer version of the program: it changes nothing here.
+                    EntryType::EntryNormal => postcard::from_bytes(&entry.data).unwrap_or(Entry::Nothing),
+                    EntryType::EntryConfChange => match ConfChange::parse_from_bytes(&entry.data) {
+                        Ok(change) => self.changed(|raw| raw.apply_conf_change(&change)),
+                        Err(_) => Entry::Nothing,
+                    },
+                    EntryType::EntryConfChangeV2 => match ConfChangeV2::parse_from_bytes(&entry.data) {
+                        Ok(change) => self.changed(|raw| raw.apply_conf_change(&change)),
+                        Err(_) => Entry::Nothing,
+                    },
+                };
+                applied = entry.index;
+                progress.agreed.push((entry.index, meant));
+            }
+            let writes = write != Write::default();
+            if writes {
+                write.number = number;
+                progress.writes.push(write);
+            }
+            let messages = ready.take_persisted_messages();
+            self.waiting.push_back(Waiting { number, writes, messages, applied });
+            self.raw.advance_append_async(ready);
+        }
+    }
+
+    fn changed(
+        &mut self,
+        apply: impl FnOnce(&mut RawNode<Log>) -> raft::Result<raft::eraftpb::ConfState>,
+    ) -> Entry {
+        match apply(&mut self.raw) {
+            Ok(conf) => {
+                let voters = conf.voters.clone();
+                self.raw.mut_store().conf = conf;
+                Entry::Voters(voters)
+            }
+            Err(_) => Entry::Nothing,
+        }
+    }
+
+    /// Sends what has waited for writes that are done.
+    fn release(&mut self, progress: &mut Progress) {
+        while self.waiting.front().is_some_and(|waiting| !waiting.writes) {
+            let Waiting { number, messages, applied, .. } = self.waiting.pop_front().expect("there is one");
+            send(messages, progress);
+            self.raw.on_persist_ready(number);
+            if applied > 0 {
+                self.raw.advance_apply_to(applied);
+            }
+            self.fold_now();
+        }
+    }
+}
+
+fn send(messages: Vec<Message>, progress: &mut Progress) {
+    let bytes = |message: Message| Some((message.to, message.write_to_bytes().ok()?));
+    progress.messages.extend(messages.into_iter().filter_map(bytes));
+}
--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -251,12 +251,37 @@
     fn subscribe(&mut self) {}
 }
 
+/// Whether views may be taken, and by what they are decided, where routers of a fleet agree on that.
+pub trait Gate {
+    /// Asked in the moment in which a view is taken; else when its client may come again.
+    fn admits(&self) -> Result<Admitted, Span>;
+    /// A view ended that was taken under that generation.
+    fn ended(&self, generation: u64, offering: u16, done: bool, took: Duration);
+}
+
+/// A view may be taken.
+pub struct Admitted {
+    /// Of what it is decided by.
+    pub generation: u64,
+    /// The facts to go by from now on, where they have changed.
+    pub facts: Option<tindoor::host::Facts>,
+}
+
+/// A view that was taken, for the account of its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Taken {
+    generation: u64,
+    offering: u16,
+    at: Instant,
+}
+
 /// The module with its clock: the one way to it.
 pub struct Decisions {
     control: RefCell<Control<Desk>>,
     pub clock: Clock,
     alarm: Rc<Alarm>,
     open: Cell<usize>,
+    gate: RefCell<Option<Rc<dyn Gate>>>,
 }
 
 impl Decisions {
@@ -264,7 +289,7 @@
         let (clock, desk) = (Clock::new(), Desk::default());
         let alarm = Rc::clone(&desk.alarm);
         let control = RefCell::new(Control::start(desk, facts, seed, clock.now())?);
-        Ok(Self { control, clock, alarm, open: Cell::new(0) })
+        Ok(Self { control, clock, alarm, open: Cell::new(0), gate: RefCell::default() })
     }
 
     /// Tells the module what happened, at the time that it is now. Nothing is awaited inside.
@@ -274,6 +299,42 @@
         what(&mut control)
     }
 
+    /// Has this one be asked before each view.
+    pub fn set_gate(&self, gate: Rc<dyn Gate>) {
+        *self.gate.borrow_mut() = Some(gate);
+    }
+
+    /// A view is taken: it comes to the module, unless none may be taken now.
+    pub fn take(&self, no: ViewNo, asked: tindoor::host::Asked, left: Span) -> Option<Taken> {
+        let gate = self.gate.borrow().clone();
+        let Some(gate) = gate else {
+            self.tell(|control| control.view(no, asked, left));
+            return None;
+        };
+        match gate.admits() {
+            Ok(Admitted { generation, facts }) => {
+                self.tell(|control| {
+                    if let Some(Err(what)) = facts.map(|facts| control.adopt(facts)) {
+                        tracing::error!(generation, what, "a policy that was checked can't be gone by");
+                    }
+                    control.view(no, asked, left);
+                });
+                Some(Taken { generation, offering: asked.offering, at: Instant::now() })
+            }
+            Err(pause) => {
+                self.control.borrow_mut().host().put(no, Order::TurnBack(Some(pause)));
+                None
+            }
+        }
+    }
+
+    /// The account of a view that was taken: whether it was done.
+    pub fn account(&self, taken: Option<Taken>, done: bool) {
+        if let (Some(Taken { generation, offering, at }), Some(gate)) = (taken, self.gate.borrow().as_ref()) {
+            gate.ended(generation, offering, done, at.elapsed());
+        }
+    }
+
     /// Tells the module how a dispatch ended; `last` says that the view is finished.
     pub fn ended(&self, no: ViewNo, dispatch: &Dispatch, end: (Verdict, Note), last: bool) {
         let took = Span::micros(dispatch.ordered.elapsed().as_micros() as u64);
--- a/crates/desk/src/life.rs
+++ b/crates/desk/src/life.rs
@@ -51,7 +51,7 @@
     (asked, left): (Asked, Span),
     hand: &H,
 ) {
-    decisions.tell(|control| control.view(no, asked, left));
+    let taken = decisions.take(no, asked, left);
     // One dispatch is out at a time; its end is told even where the answer is long given.
     let mut out: Option<(Dispatch, Carried<H::Goods>)> = None;
     let mut answered = false;
@@ -81,10 +81,12 @@
             }
             Happened::Order(Order::TurnBack(come_back)) => {
                 hand.answer(Answer::TurnedBack(come_back));
+                decisions.account(taken, false);
                 answered = true;
             }
             Happened::Order(Order::WriteOff) => {
                 hand.answer(Answer::WrittenOff);
+                decisions.account(taken, false);
                 answered = true;
             }
             Happened::Order(Order::Left) => {
@@ -104,6 +106,7 @@
                 decisions.ended(no, &dispatch, (verdict, note), answered || done);
                 if done && !answered {
                     hand.answer(Answer::Done(goods));
+                    decisions.account(taken, true);
                     answered = true;
                 }
             }
--- /dev/null
+++ b/crates/fleet/tests/stories.rs
@@ -0,0 +1,213 @@
+//! Short stories of leases, lists and clocks, one for each failure met or to be stood.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use tindoor::time::{Moment, Span};
+use tindoor_fleet::{Clocks, Interval, Lease, Listed, Roll, Silence, Start, Terms, Word};
+
+const TERMS: Terms = Terms {
+    lease: Span::millis(2000),
+    hold_out: Span::millis(20_000),
+    bound: Span::millis(50),
+    beat: Span::millis(250),
+    drift_ppm: 200,
+};
+
+fn at(ms: u64) -> Moment {
+    Moment::at_micros(1_000_000_000 + ms * 1000)
+}
+
+fn word(index: u64, ms: u64) -> Word {
+    Word { index, at: at(ms) }
+}
+
+fn listed(no: u64) -> Listed {
+    Listed { name: format!("n{no}"), address: format!("a{no}"), seat: Some(no), location: 0 }
+}
+
+#[test]
+fn a_lease_ends_a_lease_after_the_word() {
+    let mut lease = Lease::default();
+    assert!(!lease.holds(at(0)), "nothing was said yet");
+    lease.voters(&TERMS, 7, word(7, 0));
+    assert!(lease.holds(at(1990)) && !lease.holds(at(2000)), "less what clocks may drift");
+    lease.voters(&TERMS, 7, word(6, 500));
+    assert!(lease.holds(at(2400)), "a word for less than is known here is as good");
+}
+
+#[test]
+fn a_word_for_more_than_is_known_here_gives_no_lease_before_it_is_known() {
+    let mut lease = Lease::default();
+    lease.voters(&TERMS, 7, word(8, 0));
+    assert!(!lease.holds(at(1)));
+    let all = [Start(1)];
+    lease.reckon(&TERMS, word(8, 100), true, all.iter(), Start(1));
+    assert!(lease.holds(at(1900)), "now it is known");
+}
+
+#[test]
+fn more_than_half_of_the_list_go_on_without_voters_until_the_hold_out() {
+    let all: Vec<Start> = (1..=5).map(Start).collect();
+    let mut lease = Lease::default();
+    lease.voters(&TERMS, 3, word(3, 0));
+    let mut reckon = |ms: u64, peers: &[u64], open: bool| {
+        peers.iter().for_each(|peer| lease.peer(Start(*peer), word(3, ms)));
+        lease.reckon(&TERMS, word(3, ms), open, all.iter(), Start(1));
+        lease.holds(at(ms + 1900))
+    };
+    assert!(!reckon(1000, &[2], true), "two of five are not more than half");
+    assert!(reckon(1500, &[2, 3], true));
+    assert!(!reckon(3000, &[2, 3], false), "nobody vouches while a change waits for its decision");
+    assert!(reckon(3000, &[2, 3], true));
+    assert!(!reckon(18_500, &[2, 3], true), "the hold-out ends it");
+}
+
+#[test]
+fn peers_at_another_index_vouch_for_nothing() {
+    let all: Vec<Start> = (1..=3).map(Start).collect();
+    let mut lease = Lease::default();
+    lease.voters(&TERMS, 3, word(3, 0));
+    lease.peer(Start(2), word(4, 1500));
+    lease.peer(Start(3), word(4, 1500));
+    lease.reckon(&TERMS, word(3, 1500), true, all.iter(), Start(1));
+    assert!(!lease.holds(at(2000)), "they know something that is not known here");
+}
+
+#[test]
+fn no_list_that_may_still_be_held_is_passed_over() {
+    let mut roll = Roll::of((1..=3).map(|no| (Start(no), listed(no))).collect());
+    (4..=10).for_each(|no| roll.join(no, Start(no), listed(no), None));
+    // Two of the first three are cut off and hold the first list: more than half of it.
+    let knows = |start: Start| ![Start(1), Start(2)].contains(&start);
+    assert_eq!(roll.most_know(20, knows), Err(5), "eight of ten know, but only half of the first four");
+    roll.retire(5);
+    assert_eq!(roll.most_know(20, knows), Ok(()), "nobody holds that list any more");
+    assert_eq!(roll.most_know(20, |start| start.0 > 5), Err(20), "half are not more than half");
+}
+
+#[test]
+fn one_that_is_proved_to_have_ended_holds_no_list() {
+    let first = || Roll::of((1..=3).map(|no| (Start(no), listed(no))).collect());
+    let mut roll = first();
+    roll.join(4, Start(11), listed(1), Some(Start(1)));
+    roll.join(5, Start(12), listed(2), None);
+    assert_eq!(roll.listed().len(), 3);
+    assert_eq!(roll.most_know(20, |start| start.0 == 3 || start.0 > 10), Ok(()));
+    let mut silent = first();
+    silent.join(4, Start(11), listed(1), None);
+    silent.join(5, Start(12), listed(2), None);
+    assert!(silent.most_know(20, |start| start.0 == 3 || start.0 > 10).is_err(), "silence is not death");
+}
+
+/// Three voters' clocks, read from a router whose own is `off` behind theirs, by round trips of 2 ms. The second
+/// one's has `jumped`. Each giver tells of all.
+fn read(clocks: &mut Clocks, ms: u64, by: u64, off: i64, jumped: i64) {
+    let jump = |clock| if clock == 2 { jumped } else { 0 };
+    let theirs = |ms: u64| (1_000_000_000 + ms * 1000) as i64 + off + jump(by);
+    let offset = |clock| jump(clock) - jump(by);
+    let offsets = [1, 2, 3].map(|clock| (Start(clock), Interval { low: offset(clock), high: offset(clock) }));
+    clocks.told(&TERMS, Start(by), [at(ms), at(ms + 2)], theirs(ms + 1), &offsets);
+}
+
+fn agreed() -> BTreeMap<Start, i64> {
+    (1..=3).map(|voter| (Start(voter), 0)).collect()
+}
+
+#[test]
+fn round_trips_bound_the_time_and_age_widens_it() {
+    let mut clocks = Clocks::of(Start(9));
+    for ms in [0, 250, 500] {
+        (1..=3).for_each(|by| read(&mut clocks, ms, by, 777_000, 0));
+    }
+    let soon = clocks.time(&TERMS, &agreed(), at(502)).expect("three clocks meet");
+    let truth = 1_000_502_000 + 777_000;
+    assert!((soon.low..=soon.high).contains(&truth) && soon.bound() <= Span::millis(2), "{soon:?}");
+    let later = clocks.time(&TERMS, &agreed(), at(100_502)).expect("they still do");
+    assert!(later.bound() > Span::millis(39), "100 s at 400 millionths: {later:?}");
+}
+
+#[test]
+fn one_clock_that_jumps_is_outvoted() {
+    let mut clocks = Clocks::of(Start(9));
+    for ms in (0..3000).step_by(250) {
+        let jumped = if ms >= 1000 { 900_000 } else { 0 };
+        (1..=3).for_each(|by| read(&mut clocks, ms, by, 0, jumped));
+        if ms > 250 {
+            let time = clocks.time(&TERMS, &agreed(), at(ms + 2)).expect("two of three meet");
+            assert!(
+                (time.middle() - 1_000_000_000 - (ms as i64 + 2) * 1000).abs() <= 2_000,
+                "{ms}: {time:?}"
+            );
+        }
+    }
+    assert!(!clocks.is_upset(), "its own clock is not to blame");
+    let strays = clocks.strays(&TERMS, &agreed(), Start(2), at(3000)).expect("it is over the bound");
+    assert!((strays - 900_000).abs() < 5_000);
+}
+
+#[test]
+fn a_router_whose_own_clock_jumps_finds_out_at_the_second_answer() {
+    let mut clocks = Clocks::of(Start(9));
+    for ms in [0, 250, 500] {
+        (1..=3).for_each(|by| read(&mut clocks, ms, by, 0, 0));
+    }
+    // All others are suddenly ahead alike: it was the own one that fell behind.
+    let behind = 1_000_000;
+    read(&mut clocks, 750, 1, behind, 0);
+    assert!(!clocks.is_upset(), "one giver alone may be the one that jumped");
+    read(&mut clocks, 760, 2, behind, 0);
+    assert!(clocks.is_upset() && clocks.time(&TERMS, &agreed(), at(770)).is_none());
+    for ms in [1000, 1250, 1500] {
+        (1..=3).for_each(|by| read(&mut clocks, ms, by, behind, 0));
+    }
+    assert!(!clocks.is_upset() && clocks.time(&TERMS, &agreed(), at(1503)).is_some(), "settled again");
+}
+
+#[test]
+fn silence_is_measured_by_what_is_usual() {
+    let mut silence = Silence::default();
+    assert_eq!(silence.of(Start(1), at(0), TERMS.beat), None);
+    (0..10).for_each(|nth| silence.heard(Start(1), at(nth * 1000)));
+    let usual = silence.of(Start(1), at(12_000), TERMS.beat).expect("it was heard");
+    assert!(
+        (2.9..3.1).contains(&usual),
+        "one that always takes a second is not suspect after three: {usual}"
+    );
+}
+
+#[test]
+fn terms_that_can_not_stand_beside_each_other_are_named() {
+    assert_eq!(TERMS.check(), Ok(()));
+    let short = Terms { lease: Span::millis(500), ..TERMS };
+    assert!(short.check().unwrap_err().starts_with("lease_ms"));
+    let loose = Terms { drift_ppm: 9_999, lease: Span::millis(20_000), ..TERMS };
+    assert!(loose.check().unwrap_err().starts_with("drift_ppm"));
+}
+
+proptest! {
+    /// Whoever may still hold any of the lists, and can find more than half of it that know nothing, is seen.
+    #[test]
+    fn two_majorities_of_a_list_that_is_held_always_meet(
+        steps in prop::collection::vec((0u64..8, any::<bool>()), 1..24),
+        knowing in prop::collection::btree_set(0u64..40, 0..40),
+    ) {
+        let mut roll = Roll::default();
+        let mut lists: Vec<BTreeSet<Start>> = Vec::new();
+        for (nth, (name, comes)) in steps.iter().enumerate() {
+            let start = Start(nth as u64);
+            match (comes, roll.named(&format!("n{name}"))) {
+                (false, Some(known)) => roll.leave(nth as u64 + 1, known, false),
+                _ => roll.join(nth as u64 + 1, start, listed(*name), None),
+            }
+            lists.push(roll.listed().keys().copied().collect());
+        }
+        let knows = |start: Start| knowing.contains(&start.0);
+        let live_on_each_other = lists.iter().any(|list| {
+            2 * list.iter().filter(|start| !knows(**start)).count() > list.len()
+        });
+        if roll.most_know(100, knows).is_ok() {
+            prop_assert!(!live_on_each_other);
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,4 +9,6 @@
 pub mod peer;
 pub mod proxy;
 pub mod signed;
+pub mod simulated;
 pub mod stand_in;
+pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use clap::{Args, Parser, Subcommand};
 use tindoor_lab::called::{self, Plan};
 use tindoor_lab::figures::Figures;
-use tindoor_lab::{choices, demo, signed};
+use tindoor_lab::{choices, demo, signed, simulated};
 
 /// Experiments on loopback with stand-ins; each ends with 1 where a rule was broken.
 #[derive(Parser)]
@@ -75,6 +75,22 @@
         #[arg(long, default_value_t = 0)]
         pause_us: u64,
     },
+    /// A fleet in virtual time, without sockets: changes of policy under faults, one day for each seed.
+    Simulated {
+        #[command(flatten)]
+        common: Common,
+        /// How many days, from the seed on.
+        #[arg(long, default_value_t = 100)]
+        days: u64,
+        #[arg(long, default_value_t = 7)]
+        routers: usize,
+        /// Faults by name, with commas between; `all` for every one.
+        #[arg(long, default_value = "")]
+        faults: String,
+        /// Takes one guard out: lease, staged, compare.
+        #[arg(long)]
+        without: Option<String>,
+    },
     /// Memory of the router with calls held open.
     Memory {
         #[command(flatten)]
@@ -107,6 +123,17 @@
             let figures = choices::run(common.seed, common.views, streams, Duration::from_micros(pause_us));
             (common, figures)
         }
+        Experiment::Simulated { common, days, routers, faults, without } => {
+            let figures = simulated::run(&simulated::Plan {
+                seed: common.seed,
+                seconds: common.seconds,
+                days,
+                routers,
+                faults,
+                without,
+            });
+            (common, figures)
+        }
         Experiment::Memory { common, streams, connections } => {
             (common, choices::memory(streams, connections))
         }
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,690 @@
+//! A simulated fleet: the parts of routers that agree and take leases, without sockets, in virtual time. What is
+//! checked is what the routers would do with views, against the one true time, which none of them knows.
+//! A seed replays exactly.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tindoor::time::{Moment, Span};
+use tindoor_council::{Body, Command, Frame, Guards, Kept, Limits, Node, Out, Own, Write};
+use tindoor_fleet::{Listed, Roll, Start, Terms};
+use tindoor_policy::{End, Policy, Proposal};
+
+/// How a simulated day goes.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub seed: u64,
+    pub routers: usize,
+    /// How long faults go on; the day lasts until what waits has ended after that.
+    pub lasts: Span,
+    pub faults: Vec<String>,
+    pub terms: Terms,
+    pub guards: Guards,
+    /// From one proposal to the next.
+    pub proposals: Span,
+    /// From one view of a router to its next.
+    pub views: Span,
+    /// Latency of a message: the least, and what is added by chance.
+    pub latency: [Span; 2],
+}
+
+impl Day {
+    pub fn new(seed: u64, routers: usize) -> Self {
+        let terms = Terms {
+            lease: Span::millis(1500),
+            hold_out: Span::secs(6.0),
+            bound: Span::millis(40),
+            beat: Span::millis(200),
+            drift_ppm: 200,
+        };
+        Self {
+            seed,
+            routers,
+            lasts: Span::secs(25.0),
+            faults: Vec::new(),
+            terms,
+            guards: Guards::default(),
+            proposals: Span::secs(2.5),
+            views: Span::millis(20),
+            latency: [Span::micros(200), Span::millis(3)],
+        }
+    }
+
+    fn has(&self, fault: &str) -> bool {
+        self.faults.iter().any(|known| known == fault)
+    }
+}
+
+/// The faults that a day may have.
+pub const FAULTS: &[&str] = &[
+    "drop",
+    "delay",
+    "duplicate",
+    "oneway",
+    "split",
+    "kill",
+    "killmost",
+    "pause",
+    "restart",
+    "forget",
+    "leader",
+    "proposers",
+    "clock",
+    "badchange",
+];
+
+/// What came of a day.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Came {
+    pub views: u64,
+    pub turned_back: u64,
+    pub changes: u64,
+    pub took_hold: u64,
+    pub refused: u64,
+    pub called_off: u64,
+    /// Views by a policy when another had taken its place, or before it had.
+    pub mixed: u64,
+    /// Views by a policy that never took hold.
+    pub nowhere: u64,
+    /// Proposals made from what was no longer in force, that took hold.
+    pub overwritten: u64,
+    /// A change still waits though faults are over for long.
+    pub stuck: u64,
+    pub messages: u64,
+    pub bytes: u64,
+    /// From a proposal to its moment, as the routers' views show it.
+    pub held_after: Vec<Span>,
+    /// Routers that could not take views at the end.
+    pub out_at_end: u64,
+}
+
+impl Came {
+    pub fn broken(&self) -> u64 {
+        self.mixed + self.nowhere + self.overwritten + self.stuck
+    }
+}
+
+/// One router of the simulated fleet, and what outlives its process.
+struct Machine {
+    node: Option<Node>,
+    name: String,
+    address: String,
+    location: u16,
+    starts: u64,
+    /// Its folder's seat and content, where it has one.
+    seat: Option<u64>,
+    folder: Option<Kept>,
+    /// Its clock reads this much at the true time 0, and runs at this rate.
+    offset: i64,
+    rate: f64,
+    paused: bool,
+    /// When its disk has done what it was given.
+    disk: u64,
+    held_back: Vec<Frame>,
+    /// Counts process starts, so that what was for an earlier one is dropped.
+    life: u64,
+}
+
+enum Event {
+    Tick { machine: usize, life: u64 },
+    View { machine: usize },
+    Message { to: usize, frame: Box<Frame> },
+    Wrote { machine: usize, life: u64, write: Box<Write> },
+    Fault,
+    Propose,
+    Resume { machine: usize },
+    Restart { machine: usize, forgets: bool },
+    Heal,
+}
+
+struct World {
+    day: Day,
+    chance: Pcg64Mcg,
+    now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: Vec<Option<Event>>,
+    free: Vec<usize>,
+    order: u64,
+    machines: Vec<Machine>,
+    by_address: BTreeMap<String, usize>,
+    /// Who can't reach whom.
+    cut: BTreeSet<(usize, usize)>,
+    came: Came,
+    /// By generation: the first and the last view that it decided, in true time, and how many by when.
+    uses: BTreeMap<u64, Vec<u64>>,
+    proposed: BTreeMap<u64, (u64, u64)>,
+    over: bool,
+}
+
+/// Plays one day.
+pub fn play(day: &Day) -> Came {
+    let mut world = World::new(day.clone());
+    world.run();
+    world.judge();
+    world.came
+}
+
+impl World {
+    fn new(day: Day) -> Self {
+        let chance = Pcg64Mcg::seed_from_u64(day.seed);
+        let mut world = Self {
+            chance,
+            now: 1_000_000,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            free: Vec::new(),
+            order: 0,
+            machines: Vec::new(),
+            by_address: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            came: Came::default(),
+            uses: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            over: false,
+            day,
+        };
+        for no in 0..world.day.routers {
+            let address = format!("10.0.{}.{}:7000", no / 250, no % 250);
+            world.by_address.insert(address.clone(), no);
+            let ppm = world.chance.random_range(-100.0..100.0);
+            world.machines.push(Machine {
+                node: None,
+                name: format!("n{no}"),
+                address,
+                location: (no % 4) as u16,
+                starts: 0,
+                seat: (no < 9).then_some(no as u64 + 1),
+                folder: (no < 9).then(Kept::default),
+                offset: world.chance.random_range(10_000_000..1_000_000_000),
+                rate: 1.0 + ppm / 1e6,
+                paused: false,
+                disk: 0,
+                held_back: Vec::new(),
+                life: 0,
+            });
+        }
+        (0..world.day.routers).for_each(|no| world.start(no));
+        if world.day.routers <= 64 {
+            let now = world.local(0);
+            let founded =
+                world.machines[0].node.as_mut().expect("just started").found(now, Policy::default());
+            founded.expect("the first can found it");
+        } else {
+            world.preload();
+        }
+        for no in 0..world.day.routers {
+            world.gather(no);
+        }
+        let first = world.now + 2_000_000;
+        world.at(first, Event::Propose);
+        if !world.day.faults.is_empty() {
+            world.at(first + 200_000, Event::Fault);
+        }
+        world
+    }
+
+    /// A large fleet begins with its list agreed: thousands of joins are not what is looked at.
+    fn preload(&mut self) {
+        let listed = |no: usize, machine: &Machine| {
+            let Machine { name, address, location, seat, .. } = machine;
+            let listed =
+                Listed { name: name.clone(), address: address.clone(), seat: *seat, location: *location };
+            (start_of(no, machine.starts), listed)
+        };
+        let roll = Roll::of(self.machines.iter().enumerate().map(|(no, m)| listed(no, m)).collect());
+        let now = self.local(0);
+        let node = self.machines[0].node.as_mut().expect("just started");
+        node.found(now, Policy::default()).expect("the first can found it");
+        let mut agreed = node.agreed().clone();
+        agreed.roll = roll;
+        agreed.index = 2;
+        // Taken for the log's second entry, which the leader's own first one follows.
+        for no in 0..self.machines.len() {
+            let now = self.local(no);
+            let node = self.machines[no].node.as_mut().expect("just started");
+            node.learn(now, agreed.clone());
+        }
+    }
+
+    fn at(&mut self, at: u64, event: Event) {
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self.events[slot] = Some(event);
+                slot
+            }
+            None => {
+                self.events.push(Some(event));
+                self.events.len() - 1
+            }
+        };
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order, slot)));
+    }
+
+    fn local(&self, no: usize) -> Moment {
+        let machine = &self.machines[no];
+        let reads = machine.offset + (self.now as f64 * machine.rate) as i64;
+        Moment::at_micros(reads.max(0) as u64)
+    }
+
+    fn start(&mut self, no: usize) {
+        let now = self.local(no);
+        let seed = self.chance.random();
+        let seeds: Vec<String> =
+            self.machines.iter().take(5).map(|machine| machine.address.clone()).collect();
+        let machine = &mut self.machines[no];
+        machine.starts += 1;
+        machine.life += 1;
+        machine.paused = false;
+        machine.held_back.clear();
+        let own = Own {
+            start: start_of(no, machine.starts),
+            name: machine.name.clone(),
+            address: machine.address.clone(),
+            location: machine.location,
+            seat: machine.seat,
+            after: None,
+        };
+        let kept = machine.folder.clone().filter(|kept| *kept != Kept::default());
+        // So that a change can follow the one before it within the day.
+        let mut limits = Limits::default();
+        limits.probation.lasts = Span::millis(500);
+        let Day { terms, guards, .. } = self.day;
+        let node = Node::start("lab", own, terms, limits, guards, seeds, kept, seed, now);
+        machine.node = Some(node.expect("what was written fits together"));
+        let (life, views) = (machine.life, self.day.views.as_micros());
+        let jitter = self.chance.random_range(1..40_000);
+        self.at(self.now + jitter, Event::Tick { machine: no, life });
+        if machine_first(life) {
+            let jitter = self.chance.random_range(1..views);
+            self.at(self.now + jitter, Event::View { machine: no });
+        }
+        self.gather(no);
+    }
+
+    /// Carries out what a router wants.
+    fn gather(&mut self, no: usize) {
+        let Some(node) = self.machines[no].node.as_mut() else { return };
+        for out in node.take_out() {
+            match out {
+                Out::Send { to, frame } => self.post(no, &to, frame),
+                Out::Write(write) => {
+                    let life = self.machines[no].life;
+                    let takes = self.chance.random_range(500..4_000);
+                    let done = self.now.max(self.machines[no].disk) + takes;
+                    self.machines[no].disk = done;
+                    self.at(done, Event::Wrote { machine: no, life, write: Box::new(write) });
+                }
+                Out::Check(version) => {
+                    let bad = version.policy.0.contains_key("bad") && no == self.day.routers - 1;
+                    let objection = bad.then(|| "an offering would have no cache".to_string());
+                    let now = self.local(no);
+                    let node = self.machines[no].node.as_mut().expect("it wanted this");
+                    node.answer(now, version.generation, objection);
+                }
+                Out::Step(_) => {}
+            }
+        }
+        if self.machines[no].node.as_mut().is_some_and(|node| !node.is_quiet()) {
+            self.gather(no);
+        }
+    }
+
+    fn post(&mut self, from: usize, to: &str, frame: Frame) {
+        let Some(&to) = self.by_address.get(to) else { return };
+        self.came.messages += 1;
+        if self.day.routers <= 64 || self.came.messages.is_multiple_of(64) {
+            self.came.bytes += frame.to_bytes().len() as u64 * if self.day.routers <= 64 { 1 } else { 64 };
+        }
+        let faulty = !self.over;
+        if self.cut.contains(&(from, to)) || faulty && self.day.has("drop") && self.chance.random_bool(0.1) {
+            return;
+        }
+        let mut latency = self.day.latency[0].as_micros()
+            + self.chance.random_range(0..self.day.latency[1].as_micros().max(1));
+        if faulty && self.day.has("delay") && self.chance.random_bool(0.05) {
+            latency += self.chance.random_range(0..600_000);
+        }
+        if faulty && self.day.has("duplicate") && self.chance.random_bool(0.05) {
+            let later = latency + self.chance.random_range(0..300_000);
+            self.at(self.now + later, Event::Message { to, frame: Box::new(frame.clone()) });
+        }
+        self.at(self.now + latency, Event::Message { to, frame: Box::new(frame) });
+    }
+
+    fn run(&mut self) {
+        let faults_end = self.now + 2_000_000 + self.day.lasts.as_micros();
+        let Terms { lease, hold_out, .. } = self.day.terms;
+        let calm = (lease + hold_out) * 2.0 + lease * 6.0;
+        let end = faults_end + calm.as_micros();
+        while let Some(Reverse((at, _, slot))) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            if !self.over && self.now >= faults_end {
+                self.over = true;
+                self.heal();
+            }
+            let event = self.events[slot].take().expect("it was put there");
+            self.free.push(slot);
+            self.happens(event);
+        }
+    }
+
+    /// All that ails the fleet ends; who is down comes back.
+    fn heal(&mut self) {
+        self.cut.clear();
+        for no in 0..self.machines.len() {
+            match (&self.machines[no].node, self.machines[no].paused) {
+                (None, _) => self.start(no),
+                (Some(_), true) => self.resume(no),
+                _ => {}
+            }
+        }
+    }
+
+    fn happens(&mut self, event: Event) {
+        match event {
+            Event::Tick { machine: no, life } => {
+                let machine = &self.machines[no];
+                if machine.life != life {
+                    return;
+                }
+                let every = self.day.terms.beat.as_micros() / 5;
+                self.at(self.now + every, Event::Tick { machine: no, life });
+                if !self.machines[no].paused {
+                    self.with(no, |node, now| node.tick(now));
+                }
+            }
+            Event::View { machine: no } => {
+                let mean = self.day.views.as_micros();
+                let next = self.chance.random_range(mean / 2..mean * 3 / 2);
+                self.at(self.now + next, Event::View { machine: no });
+                if !self.machines[no].paused {
+                    self.view(no);
+                }
+            }
+            Event::Message { to, frame } => {
+                if self.machines[to].paused {
+                    if self.machines[to].held_back.len() < 256 {
+                        self.machines[to].held_back.push(*frame);
+                    }
+                } else {
+                    self.with(to, |node, now| node.heard(now, *frame));
+                }
+            }
+            Event::Wrote { machine: no, life, write } => {
+                if self.machines[no].life != life || self.machines[no].node.is_none() {
+                    return;
+                }
+                let number = write.number;
+                if let Some(folder) = &mut self.machines[no].folder {
+                    keep(folder, *write);
+                }
+                self.with(no, |node, now| node.wrote(now, number));
+            }
+            Event::Resume { machine: no } => {
+                if self.machines[no].paused {
+                    self.resume(no);
+                }
+            }
+            Event::Restart { machine: no, forgets } => {
+                if self.machines[no].node.is_none() {
+                    if forgets && self.machines[no].seat.is_some() {
+                        // A folder that is lost is another seat.
+                        self.machines[no].folder = Some(Kept::default());
+                        self.machines[no].seat = Some(self.chance.random_range(1_000..u64::MAX));
+                    }
+                    self.start(no);
+                }
+            }
+            Event::Heal => self.cut.clear(),
+            Event::Fault => self.fault(),
+            Event::Propose => self.propose(),
+        }
+    }
+
+    fn with(&mut self, no: usize, what: impl FnOnce(&mut Node, Moment)) {
+        let now = self.local(no);
+        if let Some(node) = self.machines[no].node.as_mut() {
+            what(node, now);
+            self.gather(no);
+        }
+    }
+
+    fn view(&mut self, no: usize) {
+        let now = self.local(no);
+        let Some(node) = self.machines[no].node.as_mut() else { return };
+        self.came.views += 1;
+        match node.version(now).map(|version| version.generation) {
+            Ok(generation) => self.uses.entry(generation).or_default().push(self.now),
+            Err(_) => self.came.turned_back += 1,
+        }
+    }
+
+    fn resume(&mut self, no: usize) {
+        self.machines[no].paused = false;
+        // A view may be the first thing that it sees.
+        self.view(no);
+        for frame in std::mem::take(&mut self.machines[no].held_back) {
+            self.with(no, |node, now| node.heard(now, frame));
+        }
+    }
+
+    fn kill(&mut self, no: usize) {
+        self.machines[no].node = None;
+        self.machines[no].life += 1;
+    }
+
+    fn propose(&mut self) {
+        if self.over {
+            return;
+        }
+        let every = self.day.proposals.as_micros();
+        self.at(self.now + every, Event::Propose);
+        let proposers = if self.day.has("proposers") { 2 } else { 1 };
+        let bad = self.day.has("badchange") && self.chance.random_bool(0.3);
+        for _ in 0..proposers {
+            let no = self.chance.random_range(0..self.machines.len());
+            if self.machines[no].paused {
+                continue;
+            }
+            let (now, at) = (self.local(no), self.now);
+            let number = self.chance.random_range(1.0..1e6f64).floor();
+            let Some(node) = self.machines[no].node.as_mut() else { continue };
+            if node.agreed().fleet == 0 {
+                continue;
+            }
+            let (token, made_from) = (node.token(), node.agreed().generation());
+            let named = if bad { "bad" } else { "number" };
+            let policy = Policy::default().with([(named.to_string(), number)]);
+            let (by, note) = (format!("n{no}"), String::new());
+            let proposal = Proposal { token, made_from, policy, undoes: None, by, note };
+            if node.command(now, Command::Propose(proposal)).is_ok() {
+                self.came.changes += 1;
+                self.proposed.insert(token, (at, made_from));
+            }
+            self.gather(no);
+        }
+    }
+
+    fn fault(&mut self) {
+        if self.over {
+            return;
+        }
+        let next = self.chance.random_range(300_000..2_000_000);
+        self.at(self.now + next, Event::Fault);
+        const ACTS: [&str; 9] =
+            ["oneway", "split", "kill", "killmost", "pause", "restart", "forget", "leader", "clock"];
+        let acts: Vec<&str> = ACTS.into_iter().filter(|act| self.day.has(act)).collect();
+        if acts.is_empty() {
+            return;
+        }
+        let act = acts[self.chance.random_range(0..acts.len())];
+        let count = self.machines.len();
+        let no = self.chance.random_range(0..count);
+        let back = self.chance.random_range(200_000..5_000_000);
+        match act {
+            "oneway" => {
+                let other = self.chance.random_range(0..count);
+                self.cut.insert((no, other));
+                self.at(self.now + back, Event::Heal);
+            }
+            "split" => {
+                let parts = self.chance.random_range(2..4u32);
+                let sides: Vec<u32> = (0..count).map(|_| self.chance.random_range(0..parts)).collect();
+                for a in 0..count {
+                    for b in 0..count {
+                        if sides[a] != sides[b] {
+                            self.cut.insert((a, b));
+                        }
+                    }
+                }
+                self.at(self.now + back, Event::Heal);
+            }
+            "kill" | "restart" => {
+                self.kill(no);
+                self.at(self.now + back, Event::Restart { machine: no, forgets: false });
+            }
+            // One folder is lost at a time, while the others' voters are there.
+            "forget" if self.machines.iter().all(|m| m.node.is_some() && !m.paused) && self.calm() => {
+                self.kill(no);
+                self.at(self.now + back, Event::Restart { machine: no, forgets: true });
+            }
+            "killmost" if self.chance.random_bool(0.3) => {
+                for no in 0..count {
+                    if self.chance.random_bool(0.7) {
+                        self.kill(no);
+                        let back = back + self.chance.random_range(0..1_000_000);
+                        self.at(self.now + back, Event::Restart { machine: no, forgets: false });
+                    }
+                }
+            }
+            "pause" if self.machines[no].node.is_some() => {
+                self.machines[no].paused = true;
+                self.at(self.now + back, Event::Resume { machine: no });
+            }
+            "leader" => {
+                let leads = |m: &Machine| m.node.as_ref().is_some_and(Node::leads);
+                if let Some(leader) = self.machines.iter().position(leads) {
+                    self.kill(leader);
+                    self.at(self.now + back, Event::Restart { machine: leader, forgets: false });
+                }
+            }
+            "clock" => {
+                // One router's clock is not as stated: it jumps, and is seen to. One at a time.
+                let by = self.chance.random_range(-2_000_000..2_000_000);
+                self.machines[no].offset += by;
+                if let Some(node) = self.machines[no].node.as_mut() {
+                    node.jumped();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether all voters are listed as they are, so that one that forgets is not the last that knew.
+    fn calm(&self) -> bool {
+        let seats: BTreeSet<u64> = self.machines.iter().filter_map(|machine| machine.seat).collect();
+        let node =
+            self.machines.iter().filter_map(|m| m.node.as_ref()).max_by_key(|node| node.agreed().index);
+        node.is_some_and(|node| {
+            let voters = &node.agreed().voters;
+            voters.len() >= 3 && voters.iter().all(|seat| seats.contains(seat))
+        })
+    }
+
+    /// Reckons what the day came to.
+    fn judge(&mut self) {
+        let best =
+            self.machines.iter().filter_map(|m| m.node.as_ref()).max_by_key(|node| node.agreed().index);
+        let Some(agreed) = best.map(|node| node.agreed().clone()) else { return };
+        self.came.stuck = u64::from(!agreed.is_open());
+        let bound = 2 * self.day.terms.bound.as_micros();
+        let mut held = BTreeSet::from([1]);
+        for past in &agreed.past {
+            match (&past.end, past.generation) {
+                (End::TookHold, Some(generation)) => {
+                    held.insert(generation);
+                    self.came.took_hold += 1;
+                }
+                (End::Refused(_), _) => self.came.refused += 1,
+                _ => self.came.called_off += 1,
+            }
+        }
+        held.extend(agreed.staged.iter().filter(|s| s.at.is_some()).map(|s| s.version.generation));
+        // What is over for so long that it is not kept in mind any more, was checked by those after it.
+        let known_from = agreed.past.iter().filter_map(|past| past.generation).min().unwrap_or(1);
+        for (generation, times) in &self.uses {
+            if *generation >= known_from && !held.contains(generation) {
+                self.came.nowhere += times.len() as u64;
+            }
+        }
+        let mut in_force = 1;
+        for past in agreed.past.iter().filter(|past| past.end == End::TookHold) {
+            self.came.overwritten +=
+                u64::from(past.made_from < in_force && past.generation >= Some(known_from));
+            in_force = past.generation.unwrap_or(in_force);
+        }
+        let uses: Vec<(&u64, &Vec<u64>)> = self.uses.iter().collect();
+        for (at, (_, new)) in uses.iter().enumerate() {
+            let first = new.iter().min().copied().unwrap_or(u64::MAX);
+            for (_, old) in &uses[..at] {
+                self.came.mixed += old.iter().filter(|used| **used > first + bound).count() as u64;
+            }
+        }
+        for past in agreed.past.iter().filter(|past| past.end == End::TookHold) {
+            let first = past.generation.and_then(|g| self.uses.get(&g)?.iter().min().copied());
+            if let (Some((at, _)), Some(first)) = (self.proposed.get(&past.token), first) {
+                self.came.held_after.push(Span::micros(first.saturating_sub(*at)));
+            }
+        }
+        for no in 0..self.machines.len() {
+            let now = self.local(no);
+            let out = self.machines[no].node.as_mut().is_none_or(|node| node.version(now).is_err());
+            self.came.out_at_end += u64::from(out);
+        }
+    }
+}
+
+fn machine_first(life: u64) -> bool {
+    life == 1
+}
+
+fn start_of(no: usize, starts: u64) -> Start {
+    Start((no as u64 + 1) << 20 | starts)
+}
+
+/// What a folder holds after a write.
+fn keep(folder: &mut Kept, write: Write) {
+    let Write { hard, snapshot, entries, cut_before, .. } = write;
+    if let Some(hard) = hard {
+        folder.hard = hard;
+    }
+    if let Some(snapshot) = snapshot {
+        folder.snapshot = snapshot;
+        if cut_before.is_none() {
+            folder.entries.clear();
+        }
+    }
+    if let Some(before) = cut_before {
+        folder.entries.retain(|(index, _)| *index >= before);
+    }
+    if let Some((first, _)) = entries.first() {
+        folder.entries.retain(|(index, _)| index < first);
+    }
+    folder.entries.extend(entries);
+}
+
+/// A frame's kind, for counting.
+pub fn kind(frame: &Frame) -> &'static str {
+    match frame.body {
+        Body::Ask { .. } => "ask",
+        Body::Tell { .. } => "tell",
+        Body::Raft(_) => "raft",
+        Body::Command(..) => "command",
+    }
+}
--- /dev/null
+++ b/crates/policy/src/agreed.rs
@@ -0,0 +1,307 @@
+//! What is agreed by a fleet up to some index of its log: a function of the entries alone, the same at every
+//! router.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use tindoor_fleet::{FleetTime, Listed, Roll, Start};
+
+use crate::Policy;
+
+/// A policy with where it stands among others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Version {
+    pub generation: u64,
+    pub made_from: u64,
+    pub hash: String,
+    pub policy: Arc<Policy>,
+}
+
+/// What a proposer hands in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Proposal {
+    /// Drawn by the proposer: by it the proposal is found again, and taken once.
+    pub token: u64,
+    pub made_from: u64,
+    pub policy: Policy,
+    /// The generation that this one undoes.
+    pub undoes: Option<u64>,
+    pub by: String,
+    pub note: String,
+}
+
+/// One entry of the agreed log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Entry {
+    /// The first of a fleet: its number and the policy that it begins with.
+    Found {
+        fleet: u64,
+        policy: Policy,
+        seat: u64,
+    },
+    Join {
+        start: Start,
+        listed: Listed,
+        after: Option<Start>,
+    },
+    Leave {
+        start: Start,
+        ended: bool,
+    },
+    /// Lists that were superseded at or before that index are held by nobody any more.
+    Retire {
+        before: u64,
+    },
+    /// Of the `raft` library's own: a leader's first.
+    Nothing,
+    /// Who votes from here on, by seats.
+    Voters(Vec<u64>),
+    /// A voter's clock is so far ahead of the fleet's time; none, and it is no longer one of its clocks.
+    Clock {
+        of: Start,
+        ahead: Option<i64>,
+    },
+    Propose(Proposal),
+    Decide {
+        generation: u64,
+        at: FleetTime,
+    },
+    CallOff {
+        generation: u64,
+        why: String,
+    },
+    /// Its time has passed everywhere.
+    Held {
+        generation: u64,
+    },
+    /// Its probation is over.
+    Kept {
+        generation: u64,
+        finding: String,
+    },
+}
+
+/// A change under way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Staged {
+    pub version: Version,
+    pub token: u64,
+    pub undoes: Option<u64>,
+    pub by: String,
+    pub note: String,
+    /// The index at which it was proposed.
+    pub index: u64,
+    /// From when on it decides, once that is agreed.
+    pub at: Option<FleetTime>,
+}
+
+/// How a change ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// It never was one: what it was made from was no longer in force, or another was under way.
+    Refused(String),
+    CalledOff(String),
+    TookHold,
+}
+
+/// A change that is over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Past {
+    pub token: u64,
+    /// None for one that was refused.
+    pub generation: Option<u64>,
+    pub made_from: u64,
+    pub hash: String,
+    pub by: String,
+    pub note: String,
+    pub undoes: Option<u64>,
+    pub end: End,
+}
+
+/// What an entry has led to, for logs and for whoever waits.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    Listed(Start),
+    Unlisted(Start),
+    Proposed(u64),
+    Refused(u64, String),
+    Decided(u64, FleetTime),
+    CalledOff(u64, String),
+    Held(u64),
+    Kept(u64, String),
+}
+
+/// Changes that are over and kept in mind.
+const PAST: usize = 64;
+
+/// All that is agreed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Agreed {
+    /// The fleet's number; 0 before it is founded.
+    pub fleet: u64,
+    /// How many entries lead to this.
+    pub index: u64,
+    pub roll: Roll,
+    /// The seats of the voters.
+    pub voters: Vec<u64>,
+    /// How far each voter's clock is ahead of the fleet's time, in microseconds.
+    pub clocks: BTreeMap<Start, i64>,
+    pub in_force: Option<Version>,
+    pub staged: Option<Staged>,
+    /// The generation on probation, and the one before it.
+    pub probation: Option<(u64, Version)>,
+    pub past: VecDeque<Past>,
+    /// The last generation that was given.
+    last: u64,
+    /// Whether a proposal must be made from what is in force: always, but in an experiment that takes the
+    /// guard out.
+    #[serde(skip, default = "yes")]
+    pub compares: bool,
+}
+
+fn yes() -> bool {
+    true
+}
+
+impl Agreed {
+    pub fn new() -> Self {
+        Self { compares: true, ..Self::default() }
+    }
+
+    /// Whether no change waits for its decision: then peers may vouch for each other.
+    pub fn is_open(&self) -> bool {
+        self.staged.as_ref().is_none_or(|staged| staged.at.is_some())
+    }
+
+    /// The generation in force.
+    pub fn generation(&self) -> u64 {
+        self.in_force.as_ref().map_or(0, |version| version.generation)
+    }
+
+    /// How a proposal ended; none while it is under way, or where it is not known any more.
+    pub fn end_of(&self, token: u64) -> Option<&Past> {
+        self.past.iter().rev().find(|past| past.token == token)
+    }
+
+    /// Takes in the next entry. One that doesn't fit any more changes nothing but the index: it was proposed on
+    /// a state that has moved on.
+    pub fn apply(&mut self, index: u64, entry: Entry) -> Vec<Step> {
+        self.index = index;
+        match entry {
+            Entry::Found { fleet, policy, seat } if self.fleet == 0 => {
+                self.fleet = fleet;
+                self.voters = vec![seat];
+                self.last = 1;
+                let hash = policy.hash();
+                self.in_force = Some(Version { generation: 1, made_from: 0, hash, policy: Arc::new(policy) });
+                vec![Step::Held(1)]
+            }
+            Entry::Found { .. } => Vec::new(),
+            Entry::Join { start, listed, after } => {
+                self.roll.join(index, start, listed, after);
+                let roll = &self.roll;
+                self.clocks.retain(|clock, _| roll.has(*clock));
+                vec![Step::Listed(start)]
+            }
+            Entry::Leave { start, ended } => {
+                self.roll.leave(index, start, ended);
+                self.clocks.remove(&start);
+                vec![Step::Unlisted(start)]
+            }
+            Entry::Retire { before } => {
+                self.roll.retire(before);
+                Vec::new()
+            }
+            Entry::Nothing => Vec::new(),
+            Entry::Voters(seats) => {
+                self.voters = seats;
+                Vec::new()
+            }
+            Entry::Clock { of, ahead } => {
+                // Never while a change is under way: its moment is told in the time that this moves.
+                match ahead.filter(|_| self.roll.has(of)) {
+                    _ if self.staged.is_some() => {}
+                    Some(ahead) => drop(self.clocks.insert(of, ahead)),
+                    None => drop(self.clocks.remove(&of)),
+                }
+                Vec::new()
+            }
+            Entry::Propose(proposal) => self.propose(index, proposal),
+            Entry::Decide { generation, at } => match &mut self.staged {
+                Some(staged) if staged.version.generation == generation && staged.at.is_none() => {
+                    staged.at = Some(at);
+                    vec![Step::Decided(generation, at)]
+                }
+                _ => Vec::new(),
+            },
+            Entry::CallOff { generation, why } => {
+                let fits =
+                    |staged: &mut Staged| staged.version.generation == generation && staged.at.is_none();
+                let Some(staged) = self.staged.take_if(fits) else { return Vec::new() };
+                self.remember(staged, End::CalledOff(why.clone()));
+                vec![Step::CalledOff(generation, why)]
+            }
+            Entry::Held { generation } => {
+                let fits =
+                    |staged: &mut Staged| staged.version.generation == generation && staged.at.is_some();
+                let Some(staged) = self.staged.take_if(fits) else { return Vec::new() };
+                let before = self.in_force.replace(staged.version.clone());
+                self.probation = before.filter(|_| staged.undoes.is_none()).map(|old| (generation, old));
+                self.remember(staged, End::TookHold);
+                vec![Step::Held(generation)]
+            }
+            Entry::Kept { generation, finding } => {
+                if self.probation.take_if(|(on, _)| *on == generation).is_none() {
+                    return Vec::new();
+                }
+                vec![Step::Kept(generation, finding)]
+            }
+        }
+    }
+
+    fn propose(&mut self, index: u64, proposal: Proposal) -> Vec<Step> {
+        let Proposal { token, made_from, policy, undoes, by, note } = proposal;
+        let under_way = self.staged.as_ref().is_some_and(|staged| staged.token == token);
+        if under_way || self.end_of(token).is_some() {
+            return Vec::new();
+        }
+        let objection = match &self.staged {
+            Some(staged) => Some(format!("generation {} is under way", staged.version.generation)),
+            None if self.compares && made_from != self.generation() => {
+                Some(format!("made from generation {made_from}, and {} is in force", self.generation()))
+            }
+            None => match &self.probation {
+                Some((on, _)) if undoes != Some(*on) => Some(format!("generation {on} is on probation")),
+                _ => None,
+            },
+        };
+        let hash = policy.hash();
+        if let Some(why) = objection {
+            let end = End::Refused(why.clone());
+            self.keep(Past { token, generation: None, made_from, hash, by, note, undoes, end });
+            return vec![Step::Refused(token, why)];
+        }
+        self.last += 1;
+        let generation = self.last;
+        let version = Version { generation, made_from, hash, policy: Arc::new(policy) };
+        self.staged = Some(Staged { version, token, undoes, by, note, index, at: None });
+        vec![Step::Proposed(generation)]
+    }
+
+    fn remember(&mut self, staged: Staged, end: End) {
+        let Staged { version: Version { generation, made_from, hash, .. }, token, undoes, by, note, .. } =
+            staged;
+        if undoes.is_some() && end == End::TookHold {
+            self.probation = None;
+        }
+        self.keep(Past { token, generation: Some(generation), made_from, hash, by, note, undoes, end });
+    }
+
+    fn keep(&mut self, past: Past) {
+        if self.past.len() == PAST {
+            self.past.pop_front();
+        }
+        self.past.push_back(past);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/keys.rs
@@ -0,0 +1,315 @@
+//! What a policy may say: one declaration of each key, by which it is checked, explained, and told to the
+//! decision module.
+
+use tindoor::host::{Fact, Facts};
+
+use crate::Policy;
+
+/// When a key can be changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum When {
+    InService,
+    /// Only by the file that a router is started with: something beside the module is built from it.
+    AtStart,
+}
+
+/// What a number stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unit {
+    /// Milliseconds here, microseconds in the module's facts.
+    Ms,
+    Flag,
+    /// A whole number.
+    Count,
+    Number,
+}
+
+/// One key. A name that begins with `offering.*.` stands for one of each offering, by the offering's name.
+#[derive(Debug)]
+pub struct Key {
+    pub name: &'static str,
+    /// What the module calls it; empty for what the router itself heeds.
+    pub fact: &'static str,
+    pub unit: Unit,
+    pub least: f64,
+    pub most: f64,
+    pub when: When,
+    pub what: &'static str,
+}
+
+const fn key(
+    name: &'static str,
+    fact: &'static str,
+    unit: Unit,
+    [least, most]: [f64; 2],
+    when: When,
+    what: &'static str,
+) -> Key {
+    Key { name, fact, unit, least, most, when, what }
+}
+
+const HOUR: f64 = 3_600_000.0;
+const FLAG: [f64; 2] = [0.0, 1.0];
+
+use Unit::{Count, Flag, Ms, Number};
+use When::{AtStart, InService};
+
+/// Every key.
+pub const KEYS: &[Key] = &[
+    key(
+        "offering.*.latency_goal_ms",
+        "latency_goal",
+        Ms,
+        [1.0, HOUR],
+        InService,
+        "a view done within it is in time",
+    ),
+    key(
+        "offering.*.goal_stretch",
+        "goal_stretch",
+        Number,
+        [0.0, 1e3],
+        InService,
+        "how much longer per second of sending work",
+    ),
+    key("offering.*.earnings", "earnings", Number, [0.0, 1e9], InService, "what a view done in time earns"),
+    key(
+        "offering.*.late_share",
+        "late_share",
+        Number,
+        FLAG,
+        InService,
+        "the part of it that a late one earns",
+    ),
+    key(
+        "offering.*.old_share",
+        "old_share",
+        Number,
+        FLAG,
+        InService,
+        "the part of it that a copy past its fresh time earns",
+    ),
+    key(
+        "offering.*.fresh_ms",
+        "fresh",
+        Ms,
+        [0.0, HOUR],
+        InService,
+        "how old a copy may be; 0 where none is kept",
+    ),
+    key(
+        "offering.*.older_by_ms",
+        "older_by",
+        Ms,
+        [0.0, HOUR],
+        InService,
+        "how much older where a dispatch failed or fills are short",
+    ),
+    key(
+        "offering.*.cut_off_ms",
+        "cut_off",
+        Ms,
+        [1.0, HOUR],
+        AtStart,
+        "the longest that a client waits: limits are built from it",
+    ),
+    key(
+        "offering.*.window_ms",
+        "window",
+        Ms,
+        [0.0, HOUR],
+        AtStart,
+        "how long a repeated write is told: marks are kept for it",
+    ),
+    key(
+        "come_back_told",
+        "come_back_told",
+        Flag,
+        FLAG,
+        InService,
+        "whether a view that is turned back is told when to come again",
+    ),
+    key(
+        "longest_come_back_ms",
+        "longest_come_back",
+        Ms,
+        [0.0, HOUR],
+        InService,
+        "the longest time that it is told",
+    ),
+    key(
+        "most_dispatches",
+        "most_dispatches",
+        Count,
+        [1.0, 64.0],
+        InService,
+        "dispatches of one view, at most",
+    ),
+    key("calling_off", "calling_off", Flag, FLAG, InService, "whether a dispatch may be given up"),
+    key("direct", "direct", Flag, FLAG, InService, "whether a parent or the origin may answer by itself"),
+    key(
+        "cold_floor",
+        "cold_floor",
+        Number,
+        FLAG,
+        InService,
+        "the part of its capacity that a cold cache has",
+    ),
+    key(
+        "cold_multiple",
+        "cold_multiple",
+        Number,
+        [0.0, 1e3],
+        InService,
+        "how many times that a cold cache bears",
+    ),
+    key("cold_window_ms", "cold_window", Ms, [1.0, HOUR], InService, "the window over which it is reckoned"),
+    key("parent_floor", "parent_floor", Number, FLAG, InService, "the same part of a cold parent"),
+    key("parent_multiple", "parent_multiple", Number, [0.0, 1e3], InService, "the same multiple of it"),
+    key(
+        "parent_warm_within_ms",
+        "parent_warm_within",
+        Ms,
+        [1.0, HOUR],
+        InService,
+        "how long a parent takes to be warm",
+    ),
+    key(
+        "warm_within_ms",
+        "warm_within",
+        Ms,
+        [1.0, HOUR],
+        AtStart,
+        "how long a cache takes to be warm: numbers of gone ones are kept by it",
+    ),
+    key(
+        "copies_gone_after_ms",
+        "copies_gone_after",
+        Ms,
+        [1.0, 24.0 * HOUR],
+        InService,
+        "when no copy from before a purge is left anywhere",
+    ),
+    key(
+        "drain_grace_ms",
+        "drain_grace",
+        Ms,
+        [0.0, HOUR],
+        AtStart,
+        "in which sends to a draining cache end: calls are bounded by it",
+    ),
+    key(
+        "purge_grace_ms",
+        "purge_grace",
+        Ms,
+        [0.0, HOUR],
+        AtStart,
+        "in which a purge holds: calls are bounded by it",
+    ),
+    key("limit.open_views", "", Count, [1.0, 4096.0], InService, "views in hand at once, at each router"),
+];
+
+/// Where a policy comes from or goes to: the offerings' names, in the order of the facts.
+pub type Offerings<'a> = &'a [String];
+
+/// The declaration of a name, and which offering it is about.
+pub fn find<'a>(name: &str, offerings: Offerings<'a>) -> Result<(&'static Key, Option<usize>), String> {
+    if let Some(rest) = name.strip_prefix("offering.") {
+        let (offering, of) = rest.rsplit_once('.').ok_or_else(|| format!("{name}: no such key"))?;
+        let declared = KEYS.iter().find(|key| key.name.strip_prefix("offering.*.") == Some(of));
+        let at = offerings.iter().position(|known| known == offering);
+        let at = at.ok_or_else(|| format!("{name}: no offering is called {offering:?}"))?;
+        return declared.map(|key| (key, Some(at))).ok_or_else(|| format!("{name}: no such key"));
+    }
+    let declared = KEYS.iter().find(|key| key.name == name);
+    declared.map(|key| (key, None)).ok_or_else(|| format!("{name}: no such key"))
+}
+
+/// Checks each number against its declaration, and those against each other that belong together.
+pub fn check(policy: &Policy, offerings: Offerings) -> Result<(), String> {
+    for (name, number) in &policy.0 {
+        let (key, _) = find(name, offerings)?;
+        if !number.is_finite() || !(key.least..=key.most).contains(number) {
+            return Err(format!("{name}: {number} is not from {} to {}", key.least, key.most));
+        }
+        if matches!(key.unit, Count | Flag) && number.fract() != 0.0 {
+            return Err(format!("{name}: {number} is not a whole number"));
+        }
+    }
+    for offering in offerings {
+        let of = |what: &str| policy.0.get(&format!("offering.{offering}.{what}")).copied();
+        if let (Some(goal), Some(cut_off)) = (of("latency_goal_ms"), of("cut_off_ms"))
+            && goal > cut_off
+        {
+            return Err(format!(
+                "offering.{offering}.latency_goal_ms: {goal} is over the cut-off of {cut_off}"
+            ));
+        }
+        // A copy that may be older than the memory of purges could be from before one.
+        if let (Some(fresh), Some(gone)) = (of("fresh_ms"), policy.0.get("copies_gone_after_ms"))
+            && fresh + of("older_by_ms").unwrap_or_default() > *gone
+        {
+            return Err(format!(
+                "offering.{offering}.fresh_ms: with older_by_ms over copies_gone_after_ms of {gone}: \
+                 a copy could outlive the memory of its purge"
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Whether the second policy can follow the first in service.
+pub fn check_change(from: &Policy, to: &Policy, offerings: Offerings) -> Result<(), String> {
+    check(to, offerings)?;
+    for (name, old, new) in from.differ(to) {
+        let (key, _) = find(name, offerings)?;
+        if key.when == AtStart {
+            return Err(format!("{name}: changes at a start only"));
+        }
+        if new.is_none() && old.is_some() {
+            return Err(format!("{name}: missing, and it was set"));
+        }
+    }
+    Ok(())
+}
+
+fn fact_name(key: &Key, offering: Option<usize>) -> String {
+    match offering {
+        Some(at) => format!("offering.{at}.{}", key.fact),
+        None => key.fact.to_string(),
+    }
+}
+
+/// What the facts of a deployment say under these keys.
+pub fn of_facts(facts: &Facts, offerings: Offerings) -> Policy {
+    let mut policy = Policy::default();
+    for key in KEYS.iter().filter(|key| !key.fact.is_empty()) {
+        let places: Vec<Option<usize>> = match key.name.starts_with("offering.*.") {
+            true => (0..offerings.len()).map(Some).collect(),
+            false => vec![None],
+        };
+        for place in places {
+            let Some(number) = facts.get(&fact_name(key, place)).and_then(Fact::number) else { continue };
+            let number = if key.unit == Ms { number / 1000.0 } else { number };
+            let name = match place {
+                Some(at) => key.name.replace('*', &offerings[at]),
+                None => key.name.to_string(),
+            };
+            policy.0.insert(name, number);
+        }
+    }
+    policy
+}
+
+/// The facts of a deployment with what the policy says in place of their own.
+pub fn onto_facts(policy: &Policy, facts: &Facts, offerings: Offerings) -> Result<Facts, String> {
+    let mut facts = facts.clone();
+    for (name, number) in &policy.0 {
+        let (key, at) = find(name, offerings)?;
+        if !key.fact.is_empty() {
+            let number = if key.unit == Ms { (number * 1000.0).round() } else { *number };
+            facts.insert(fact_name(key, at), Fact::Number(number));
+        }
+    }
+    Ok(facts)
+}
--- a/crates/router/src/choices.rs
+++ b/crates/router/src/choices.rs
@@ -72,7 +72,7 @@
         let (no, slot) = choices.decisions.open_view();
         let Call { object, part, group, offering, repeat, left, pass, .. } = *call;
         let asked = Asked { object, part, group, offering, kb: None, repeat, ran, pass };
-        choices.decisions.tell(|control| control.view(no, asked, left));
+        choices.decisions.take(no, asked, left);
         let (id, orders) = (choices.ids.take(call.ticket), Rc::clone(&slot));
         let _orders = self.choices.executor.spawn(async move {
             loop {
@@ -251,6 +251,8 @@
             "leases" => guards.leases = false,
             // Those of links are taken out there.
             "links" | "revoked" | "clock" => {}
+            // Those of a fleet as well.
+            "lease" | "staged" | "compare" | "incarnation" | "synced" | "pinned" => {}
             other => tracing::error!(guard = other, "no such guard"),
         }
         tracing::warn!(without, "a guard is taken out for an experiment");
--- a/crates/router/src/clients.rs
+++ b/crates/router/src/clients.rs
@@ -129,7 +129,8 @@
     let frame = if size <= router.limits.small_frame { Bytes::copy_from_slice(&frame) } else { frame };
     match tindoor_thrift::parse(frame) {
         Ok(Message::Health { seq }) => {
-            let good = router.stopping.get().is_none();
+            let good =
+                router.stopping.get().is_none() && router.fleet.as_ref().is_none_or(|fleet| fleet.is_good());
             client.send(tindoor_thrift::answer("health", seq, Bytes::new(), &[], good), None);
         }
         Ok(Message::Cancel { seq }) => {
@@ -145,8 +146,9 @@
             }
             // What can't be taken at all never ran.
             let views = router.decisions.open_views();
-            let room =
-                client.open.borrow().len() < router.limits.open_calls && views < router.limits.open_views;
+            let most = router.fleet.as_ref().map_or(usize::MAX, |fleet| fleet.most_in_hand.get());
+            let most = most.min(router.limits.open_views);
+            let room = client.open.borrow().len() < router.limits.open_calls && views < most;
             let Some(held) = router.budget.take(size).filter(|_| room) else {
                 if let Some(times) = router.no_room.told() {
                     tracing::warn!(views, times, "no room for a view");
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -30,6 +30,94 @@
     /// Signed links, for operators and scripts.
     #[command(subcommand)]
     Link(Link),
+    /// The policy of a fleet, asked of any of its routers; ends with 1 where a change was refused or called off.
+    #[command(subcommand)]
+    Policy(Fleet),
+}
+
+#[derive(Subcommand)]
+pub enum Fleet {
+    /// Found a fleet here, once, with what this router was started with.
+    Found {
+        #[command(flatten)]
+        at: At,
+    },
+    /// How the router stands in its fleet.
+    Status {
+        #[command(flatten)]
+        at: At,
+    },
+    /// The policy in force.
+    Show {
+        #[command(flatten)]
+        at: At,
+    },
+    /// The last changes, and how each ended.
+    History {
+        #[command(flatten)]
+        at: At,
+    },
+    /// What a file would change of the policy in force.
+    Diff {
+        #[command(flatten)]
+        at: At,
+        file: PathBuf,
+    },
+    /// What keys there are, what they mean and when they change; asks nobody.
+    Explain {
+        /// The end of a key's name.
+        key: Option<String>,
+    },
+    /// Propose a change: a JSON object of keys and numbers.
+    Propose {
+        #[command(flatten)]
+        at: At,
+        file: PathBuf,
+        /// The generation that it was made from; else the one in force.
+        #[arg(long)]
+        from: Option<u64>,
+        #[arg(long, default_value = "")]
+        note: String,
+        #[command(flatten)]
+        proposing: Proposing,
+    },
+    /// Undo a change that is on probation.
+    Undo {
+        #[command(flatten)]
+        at: At,
+        generation: Option<u64>,
+        #[command(flatten)]
+        proposing: Proposing,
+    },
+    /// Withdraw a change that is not yet decided.
+    Withdraw {
+        #[command(flatten)]
+        at: At,
+        generation: u64,
+    },
+    /// Take a router off the list that is known to have ended.
+    Forget {
+        #[command(flatten)]
+        at: At,
+        name: String,
+    },
+}
+
+#[derive(Args)]
+pub struct At {
+    /// The operator's socket of a router: `fleet.operator` of its fronts file.
+    #[arg(long, env = "TINDOOR_OPERATOR")]
+    pub socket: PathBuf,
+}
+
+#[derive(Args)]
+pub struct Proposing {
+    /// Who proposes, for the history.
+    #[arg(long, default_value = "operator")]
+    pub by: String,
+    /// Wait for its end, for so many seconds; ends with 3 where it is still under way then.
+    #[arg(long, num_args = 0..=1, default_missing_value = "60")]
+    pub wait: Option<u64>,
 }
 
 #[derive(Subcommand)]
--- /dev/null
+++ b/crates/router/src/fleet.rs
@@ -0,0 +1,429 @@
+//! This router's part in its fleet: its node with the clock, the folder, the peers and the decisions that it acts
+//! on. What is decided here is decided by the node.
+
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, anyhow, ensure};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use rustix::time::{ClockId, clock_gettime};
+use serde::Deserialize;
+use tindoor::host::Facts;
+use tindoor::time::{Moment, Span};
+use tindoor_council::{Guards, Limits as Much, Node, Out, Own, Status, Write};
+use tindoor_desk::{Admitted, Gate};
+use tindoor_fleet::{Start, Terms};
+use tindoor_policy::{Count, Policy, Step, Version, keys};
+
+use crate::folder::Folder;
+use crate::limits::PeerLimits;
+use crate::peers::Peers;
+
+/// What our own file says of a fleet. Its terms must be told alike to all its routers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Told {
+    /// The fleet's name.
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Where peers reach it, if not where it listens.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
+    /// Routers to ask first.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Whether it may be a voter.
+    #[serde(default)]
+    pub votes: bool,
+    /// Where a voter's log lasts; without one, a restart is a new voter.
+    #[serde(default)]
+    pub folder: Option<PathBuf>,
+    /// Where its operator asks and proposes.
+    #[serde(default)]
+    pub operator: Option<PathBuf>,
+    #[serde(default = "three")]
+    pub voters: usize,
+    #[serde(default = "of::<2_000>")]
+    pub lease_ms: u64,
+    #[serde(default = "of::<600_000>")]
+    pub hold_out_ms: u64,
+    #[serde(default = "of::<50>")]
+    pub clock_bound_ms: u64,
+    #[serde(default = "of::<250>")]
+    pub beat_ms: u64,
+    #[serde(default = "of::<200>")]
+    pub drift_ppm: u64,
+}
+
+fn three() -> usize {
+    3
+}
+
+fn of<const NUMBER: u64>() -> u64 {
+    NUMBER
+}
+
+impl Told {
+    pub fn terms(&self) -> Result<Terms> {
+        let terms = Terms {
+            lease: Span::millis(self.lease_ms),
+            hold_out: Span::millis(self.hold_out_ms),
+            bound: Span::millis(self.clock_bound_ms),
+            beat: Span::millis(self.beat_ms),
+            drift_ppm: self.drift_ppm,
+        };
+        ensure!(
+            self.lease_ms <= 3_600_000 && self.hold_out_ms <= 86_400_000,
+            "fleet.hold_out_ms: over a day"
+        );
+        ensure!((1..=7).contains(&self.voters), "fleet.voters: {} is not from 1 to 7", self.voters);
+        ensure!(
+            !self.name.is_empty() && !self.name.contains(char::is_whitespace),
+            "fleet.name: not one word"
+        );
+        ensure!(self.votes || self.folder.is_none(), "fleet.folder: of no use without `votes`");
+        terms.check().map_err(|what| anyhow!("fleet.{what}"))?;
+        Ok(terms)
+    }
+}
+
+/// The clock that counts on while the machine sleeps, held against the one that does not: where the two part, what
+/// was reckoned by them is of no use.
+struct Clock {
+    last: Cell<(Instant, u64)>,
+    begun: (Instant, u64),
+    fault: Option<ClockFault>,
+}
+
+/// For experiments, in a build for tests only: this clock runs so much faster, and jumps so far after so long.
+#[derive(Clone, Copy)]
+struct ClockFault {
+    rate: f64,
+    jump: (u64, i64),
+}
+
+impl Clock {
+    fn new() -> Self {
+        let begun = (Instant::now(), boot_micros());
+        Self { last: Cell::new(begun), begun, fault: ClockFault::named() }
+    }
+
+    fn read(&self) -> (Instant, u64) {
+        let (mono, boot) = (Instant::now(), boot_micros());
+        let Some(fault) = self.fault else { return (mono, boot) };
+        let gone = boot - self.begun.1;
+        let jump = if gone > fault.jump.0 { fault.jump.1 } else { 0 };
+        let reads = self.begun.1 as i64 + (gone as f64 * fault.rate) as i64 + jump;
+        (mono, reads.max(0) as u64)
+    }
+
+    /// The time, and whether the clock has jumped since it was last read.
+    fn now(&self) -> (Moment, bool) {
+        let (mono, boot) = self.read();
+        let (last_mono, last_boot) = self.last.replace((mono, boot));
+        let by_mono = (mono - last_mono).as_micros() as i64;
+        let by_boot = boot as i64 - last_boot as i64;
+        let apart = (by_boot - by_mono).unsigned_abs();
+        (Moment::at_micros(boot), apart > 10_000 + by_mono.unsigned_abs() / 100)
+    }
+}
+
+impl ClockFault {
+    fn named() -> Option<Self> {
+        let named = std::env::var("TINDOOR_CLOCK").ok().filter(|_| cfg!(debug_assertions))?;
+        let mut parts = named.split(':');
+        let rate = parts.next()?.parse().ok()?;
+        let (after, by): (u64, i64) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
+        tracing::warn!(rate, after, by, "the clock is made to be off for an experiment");
+        Some(Self { rate, jump: (after * 1000, by * 1000) })
+    }
+}
+
+fn boot_micros() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1000
+}
+
+/// One router of a fleet.
+pub struct Fleet {
+    node: RefCell<Node>,
+    clock: Clock,
+    peers: Rc<Peers>,
+    writes: async_channel::Sender<Write>,
+    /// What this router was started with, and its offerings by name.
+    facts: Facts,
+    offerings: Vec<String>,
+    /// The generation that the module goes by.
+    adopted: Cell<u64>,
+    /// In-time goals of that generation and the one before it, by offering.
+    goals: RefCell<Vec<(u64, Vec<Duration>)>>,
+    pause: Span,
+    /// Views in hand, and how many there may be, as the policy says.
+    in_hand: Box<dyn Fn() -> usize>,
+    pub most_in_hand: Cell<usize>,
+    pinned: bool,
+}
+
+/// What a fleet is started with beside what it is told.
+pub struct Place {
+    pub name: String,
+    pub location: u16,
+    pub facts: Facts,
+    pub offerings: Vec<String>,
+    pub limits: PeerLimits,
+    pub open_views: usize,
+    pub in_hand: Box<dyn Fn() -> usize>,
+    pub pause: Span,
+}
+
+impl Fleet {
+    pub fn start(executor: &Rc<LocalExecutor<'static>>, told: &Told, place: Place) -> Result<Rc<Self>> {
+        let terms = told.terms()?;
+        let (guards, by_name, unsynced, pinned) = guards()?;
+        // Every start is a router of its own: drawn from the system, as a seed may come again.
+        let mut start = getrandom::u64().context("a number for this start")?;
+        let mut seat = start;
+        if by_name {
+            // Without its guard, a start is taken for the one before it.
+            (start, seat) =
+                (u64::from(crate::fleet::named(&place.name)), u64::from(crate::fleet::named(&place.name)));
+        }
+        let mut after = None;
+        let mut kept = None;
+        let mut folder = None;
+        if let Some(path) = told.folder.as_ref().filter(|_| told.votes) {
+            let (open, found) = Folder::open(path, seat, start).context("fleet.folder")?;
+            (seat, after, kept) = (found.seat, found.before.map(Start), found.kept);
+            folder = Some(Arc::new(open));
+        }
+        let listener = Async::<TcpListener>::bind(told.listen)
+            .with_context(|| format!("fleet.listen: {}", told.listen))?;
+        let bound = listener.get_ref().local_addr().context("fleet.listen")?;
+        let own = Own {
+            start: Start(start),
+            name: place.name.clone(),
+            address: told.address.unwrap_or(bound).to_string(),
+            location: place.location,
+            seat: told.votes.then_some(seat),
+            after: after.filter(|_| !by_name),
+        };
+        tracing::info!(front = "fleet", at = %bound, start = %own.start, seat = own.seat, "listening");
+        let clock = Clock::new();
+        let limits = Much { voters: told.voters, ..Much::default() };
+        let seeds = told.seeds.iter().map(SocketAddr::to_string).collect();
+        let seed = getrandom::u64().context("a seed")?;
+        let now = clock.now().0;
+        let node = Node::start(&told.name, own, terms, limits, guards, seeds, kept, seed, now);
+        let node = node.map_err(|what| anyhow!("fleet: {what}"))?;
+        let every = Duration::from_micros(node.tick_every().as_micros());
+        let peers = Peers::new(Rc::clone(executor), place.limits, &told.name, &place.name);
+        let (writes, waiting) = async_channel::unbounded();
+        let fleet = Rc::new(Self {
+            node: RefCell::new(node),
+            clock,
+            peers: Rc::clone(&peers),
+            writes,
+            facts: place.facts,
+            offerings: place.offerings,
+            adopted: Cell::new(0),
+            goals: RefCell::default(),
+            pause: place.pause,
+            in_hand: place.in_hand,
+            most_in_hand: Cell::new(place.open_views),
+            pinned,
+        });
+        fleet.tell(|_, _| ());
+        let heard = Rc::clone(&fleet);
+        let accept = peers.accept(listener, move |frame| heard.tell(|node, now| node.heard(now, frame)));
+        executor.spawn(accept).detach();
+        let ticked = Rc::clone(&fleet);
+        let tick = async move {
+            loop {
+                Timer::after(every).await;
+                ticked.tell(|node, now| node.tick(now));
+            }
+        };
+        executor.spawn(tick).detach();
+        let written = Rc::clone(&fleet);
+        executor.spawn(async move { written.write_all(waiting, folder, unsynced).await }).detach();
+        Ok(fleet)
+    }
+
+    /// Tells the node what happened, at the time that it is now, and carries out what it wants. Nothing is
+    /// awaited inside.
+    pub fn tell<T>(&self, what: impl FnOnce(&mut Node, Moment) -> T) -> T {
+        let (told, mut wants) = {
+            let mut node = self.node.borrow_mut();
+            let (now, jumped) = self.clock.now();
+            if jumped {
+                tracing::warn!("the clock has jumped: all that was reckoned by it is found out anew");
+                node.jumped();
+            }
+            let told = what(&mut node, now);
+            (told, node.take_out())
+        };
+        while !wants.is_empty() {
+            for out in std::mem::take(&mut wants) {
+                match out {
+                    Out::Send { to, frame } => self.peers.send(&to, &frame),
+                    Out::Write(write) => drop(self.writes.try_send(write)),
+                    Out::Check(version) => {
+                        let objection = self.objection(&version);
+                        if let Some(why) = &objection {
+                            tracing::error!(generation = version.generation, why, "can't go by that policy");
+                        }
+                        let mut node = self.node.borrow_mut();
+                        node.answer(self.clock.now().0, version.generation, objection);
+                        wants.extend(node.take_out());
+                    }
+                    Out::Step(step) => log(&step),
+                }
+            }
+        }
+        told
+    }
+
+    /// Why this router could not go by that policy.
+    fn objection(&self, version: &Version) -> Option<String> {
+        let own = keys::of_facts(&self.facts, &self.offerings);
+        if let Err(why) = keys::check_change(&own, &version.policy, &self.offerings) {
+            return Some(why);
+        }
+        let most = version.policy.0.get("limit.open_views").copied();
+        let in_hand = (self.in_hand)();
+        let below = most.filter(|most| (in_hand as f64) > *most);
+        below.map(|most| format!("limit.open_views: {most} is below the {in_hand} in hand"))
+    }
+
+    /// The policy that a fleet founded here begins with: what this router was started with.
+    pub fn first_policy(&self) -> Policy {
+        keys::of_facts(&self.facts, &self.offerings)
+    }
+
+    pub fn offerings(&self) -> &[String] {
+        &self.offerings
+    }
+
+    pub fn status(&self) -> (Status, [u64; 2]) {
+        (self.tell(|node, now| node.status(now)), self.peers.sent.get())
+    }
+
+    /// Whether views are taken now.
+    pub fn is_good(&self) -> bool {
+        self.tell(|node, now| node.version(now).is_ok())
+    }
+
+    /// Writes what the voter wants written, one after the other, on a thread that may wait for the disk.
+    async fn write_all(
+        &self,
+        waiting: async_channel::Receiver<Write>,
+        folder: Option<Arc<Folder>>,
+        unsynced: bool,
+    ) {
+        while let Ok(write) = waiting.recv().await {
+            let number = write.number;
+            if let Some(folder) = folder.as_ref().filter(|_| !unsynced || number < 2) {
+                let folder = Arc::clone(folder);
+                if let Err(what) = blocking::unblock(move || folder.write(&write)).await {
+                    // What was not written must not be told to have been: it votes no more.
+                    tracing::error!(%what, "the folder can't be written: this voter stands still from now on");
+                    return;
+                }
+            }
+            self.tell(|node, now| node.wrote(now, number));
+        }
+    }
+
+    /// The facts that the module is to go by under that version.
+    fn adopt(&self, version: &Version) -> Option<Facts> {
+        let mut facts = keys::onto_facts(&version.policy, &self.facts, &self.offerings).ok()?;
+        if !self.pinned {
+            facts.insert("pinned".into(), tindoor::host::Fact::Number(0.0));
+        }
+        let goal = |name: &String| {
+            let ms = version.policy.0.get(&format!("offering.{name}.latency_goal_ms"));
+            Duration::from_micros((ms.copied().unwrap_or_default() * 1000.0) as u64)
+        };
+        let mut goals = self.goals.borrow_mut();
+        goals.push((version.generation, self.offerings.iter().map(goal).collect()));
+        // Views in hand may be of a few generations back; what is older is not counted.
+        if goals.len() > 8 {
+            goals.remove(0);
+        }
+        if let Some(most) = version.policy.0.get("limit.open_views") {
+            self.most_in_hand.set(*most as usize);
+        }
+        self.adopted.set(version.generation);
+        Some(facts)
+    }
+}
+
+impl Gate for Fleet {
+    fn admits(&self) -> std::result::Result<Admitted, Span> {
+        let mut node = self.node.borrow_mut();
+        let (now, jumped) = self.clock.now();
+        if jumped {
+            node.jumped();
+        }
+        match node.version(now) {
+            Ok(version) => {
+                let generation = version.generation;
+                let facts = if generation == self.adopted.get() { None } else { self.adopt(version) };
+                Ok(Admitted { generation, facts })
+            }
+            Err(_) => Err(self.pause),
+        }
+    }
+
+    fn ended(&self, generation: u64, offering: u16, done: bool, took: Duration) {
+        let goals = self.goals.borrow();
+        let goal = goals.iter().find(|(of, _)| *of == generation);
+        let Some(goal) = goal.and_then(|(_, goals)| goals.get(offering as usize)) else { return };
+        let count = Count { views: 1, good: u64::from(done && took <= *goal) };
+        self.node.borrow_mut().count(generation, offering, count);
+    }
+}
+
+/// One line for each step.
+fn log(step: &Step) {
+    match step {
+        Step::Listed(start) => tracing::info!(%start, "fleet: listed"),
+        Step::Unlisted(start) => tracing::info!(%start, "fleet: no longer listed"),
+        Step::Proposed(generation) => tracing::info!(generation, "policy: proposed"),
+        Step::Refused(token, why) => tracing::warn!(token, why, "policy: refused"),
+        Step::Decided(generation, at) => tracing::info!(generation, at = at.0, "policy: decided"),
+        Step::CalledOff(generation, why) => tracing::warn!(generation, why, "policy: called off"),
+        Step::Held(generation) => tracing::info!(generation, "policy: in force"),
+        Step::Kept(generation, finding) => tracing::info!(generation, finding, "policy: off probation"),
+    }
+}
+
+/// A number that is the same for the same name.
+fn named(name: &str) -> u32 {
+    name.bytes().fold(17, |hash: u32, byte| hash.wrapping_mul(31).wrapping_add(u32::from(byte))) | 1
+}
+
+/// All guards stand. An experiment of the lab may name one to take out, in a build for tests only.
+fn guards() -> Result<(Guards, bool, bool, bool)> {
+    let mut guards = Guards::default();
+    let (mut by_name, mut unsynced, mut pinned) = (false, false, true);
+    if cfg!(debug_assertions)
+        && let Ok(without) = std::env::var("TINDOOR_WITHOUT")
+    {
+        match without.as_str() {
+            "lease" => guards.lease = false,
+            "staged" => guards.staged = false,
+            "compare" => guards.compare = false,
+            "incarnation" => by_name = true,
+            "synced" => unsynced = true,
+            "pinned" => pinned = false,
+            _ => {}
+        }
+    }
+    Ok((guards, by_name, unsynced, pinned))
+}
--- a/crates/router/src/fronts.rs
+++ b/crates/router/src/fronts.rs
@@ -15,6 +15,9 @@
     pub external_processing: Option<Front>,
     #[serde(default)]
     pub call: Option<Front>,
+    /// The fleet that this router belongs to.
+    #[serde(default)]
+    pub fleet: Option<crate::fleet::Told>,
     /// Links that are checked on the fronts of this file.
     #[serde(default)]
     pub links: Option<Told>,
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -108,6 +108,9 @@
     pub small_frames: usize,
     /// What may wait on one call for its proxy to open a window.
     pub unsent: usize,
+    /// When a client may come again whose view could not be taken for want of a lease: once the router has had a
+    /// beat or two to find out.
+    pub no_lease: Duration,
     /// How long a connection of a proxy may rest.
     pub proxy_idle: Duration,
     /// How long a choice may lie at a proxy before its use, at most.
@@ -169,6 +172,7 @@
             resets: 64,
             small_frames: 2 * 256 * (1 << 10),
             unsent: 16 << 10,
+            no_lease: Duration::from_millis(400),
             proxy_idle: Duration::from_secs(60),
             use_within: Duration::from_millis(200),
             report_within: Duration::from_millis(250),
@@ -198,6 +202,41 @@
     }
 }
 
+/// Those of what passes between routers of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerLimits {
+    /// Connections to peers, and as many from them.
+    pub connections: usize,
+    /// The longest message.
+    pub frame: usize,
+    /// The longest first line.
+    pub hello: usize,
+    /// Messages that wait for one peer.
+    pub queue: usize,
+    pub connect: Duration,
+    /// How long a message may take to be written, or to come whole.
+    pub write: Duration,
+    /// How long a connection may rest.
+    pub idle: Duration,
+    /// The pause after one that failed.
+    pub pause: Duration,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 96,
+            frame: 1 << 20,
+            hello: 256,
+            queue: 128,
+            connect: Duration::from_millis(400),
+            write: Duration::from_secs(2),
+            idle: Duration::from_secs(10),
+            pause: Duration::from_millis(50),
+        }
+    }
+}
+
 /// What comes of it within its time; an error of kind `TimedOut` after that. A timer costs a system call, so
 /// there is none for what is ready at once.
 pub async fn within<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -7,12 +7,16 @@
 mod clients;
 mod command;
 mod configuration;
+mod council;
 mod feed;
+mod fleet;
+mod folder;
 mod fronts;
 mod limits;
 mod links;
 mod locate;
 mod operate;
+mod peers;
 mod places;
 mod processor;
 mod router;
@@ -40,12 +44,15 @@
 use clap::Parser;
 use command::{Deed, Files, Line, LogFormat};
 use configuration::{Deployment, Fixed};
+use fleet::Fleet;
 use fronts::Fronts;
-use limits::Seldom;
+use limits::{PeerLimits, Seldom};
 use links::Links;
 use router::Router;
+use tindoor::host::Fact;
+use tindoor::time::Span;
 use tindoor_changelog::Place;
-use tindoor_desk::{Decisions, Ids};
+use tindoor_desk::{Decisions, Gate, Ids};
 use tindoor_extproc::ask::Offering;
 
 fn main() -> ExitCode {
@@ -61,6 +68,13 @@
         Some(Deed::Check(files)) => check(&files).map(|()| println!("ok")),
         Some(Deed::Keys(deed)) => operate::keys(deed),
         Some(Deed::Link(deed)) => operate::link(deed),
+        Some(Deed::Policy(deed)) => match council::run(deed) {
+            Ok(code) => return code,
+            Err(what) => {
+                eprintln!("{what:#}");
+                return ExitCode::from(2);
+            }
+        },
         Some(Deed::Serve(files)) => start(files),
         None => start(line.files),
     };
@@ -84,6 +98,7 @@
     let (deployment, fronts) = read(files)?;
     let asked = asked(&deployment);
     fronts.links.map(|told| Links::start(told, &asked, 0).context("fronts")).transpose()?;
+    fronts.fleet.map(|told| told.terms().context("fronts")).transpose()?;
     Ok(())
 }
 
@@ -143,6 +158,7 @@
     }
     // For pauses between connections only; the module draws from a seed of its own.
     fastrand::seed(seed);
+    let facts = deployment.facts.clone();
     let decisions =
         Decisions::start(deployment.facts, seed).map_err(|fact| anyhow::anyhow!("settings: {fact}"))?;
     let (decisions, ids) = (Rc::new(decisions), Ids::default());
@@ -157,7 +173,39 @@
         Some(told) => Some(Links::start(told, &asked, seed).context("fronts")?),
         None => None,
     };
+    let place = fleet::Place {
+        name: name.clone(),
+        location: facts.get("location").and_then(Fact::number).unwrap_or_default() as u16,
+        facts,
+        offerings: deployment.offerings.iter().map(|offering| offering.name.clone()).collect(),
+        limits: PeerLimits::default(),
+        open_views: limits.open_views,
+        in_hand: {
+            let decisions = Rc::clone(&decisions);
+            Box::new(move || decisions.open_views())
+        },
+        pause: Span::micros(limits.no_lease.as_micros() as u64),
+    };
+    let fleet = match &fronts.fleet {
+        Some(told) => {
+            let fleet = Fleet::start(&executor, told, place).context("fronts")?;
+            decisions.set_gate(Rc::clone(&fleet) as Rc<dyn Gate>);
+            if let Some(path) = told.operator.clone() {
+                let heard =
+                    council::listen(Rc::clone(&executor), Rc::clone(&fleet), path, PeerLimits::default());
+                let heard = async move {
+                    if let Err(what) = heard.await {
+                        tracing::error!("the operator is not heard: {what:#}");
+                    }
+                };
+                executor.spawn(heard).detach();
+            }
+            Some(fleet)
+        }
+        None => None,
+    };
     let router = Rc::new(Router {
+        fleet,
         executor: Rc::clone(&executor),
         limits,
         asked,
@@ -257,6 +305,10 @@
     let told = Instant::now();
     let end = told + router.limits.stop;
     router.stopping.set(Some(end));
+    if let Some(fleet) = &router.fleet {
+        // Its name leaves the list only once it takes no more views: until then it is waited for.
+        tracing::info!(generation = fleet.status().0.generation, "leaving the fleet");
+    }
     tracing::info!(views = router.decisions.open_views(), "stopping");
     let busy = || router.decisions.open_views() > 0 || router.unwritten.get() > 0;
     while told.elapsed() < router.limits.last_calls || busy() && Instant::now() < end {
@@ -267,5 +319,9 @@
     while busy() && end.elapsed() < router.limits.farewell {
         Timer::after(router.limits.look_again).await;
     }
+    if let Some(fleet) = &router.fleet {
+        fleet.tell(|node, now| node.leave(now));
+        Timer::after(router.limits.look_again).await;
+    }
     tracing::info!(calls = ?router.choices.figures(), "stopped");
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -12,6 +12,7 @@
 use crate::caches::{Budget, Caches};
 use crate::choices::Choices;
 use crate::configuration::Offering;
+use crate::fleet::Fleet;
 use crate::limits::{Limits, Seldom};
 use crate::links::Links;
 
@@ -26,6 +27,8 @@
     pub kinds: Vec<String>,
     pub decisions: Rc<Decisions>,
     pub choices: Rc<Choices>,
+    /// None where it belongs to no fleet.
+    pub fleet: Option<Rc<Fleet>>,
     /// None where no links are checked.
     pub links: Option<Links>,
     pub ids: Ids,
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,12 +1,12 @@
 //! All decisions of the router: where a view goes, where its fill comes from, when it is given up.
 //!
-//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time.
-//! Whenever something happens it sets the [`clock`](Control::clock) and calls the method named for it, like
-//! [`view`](Control::view). The control acts by calling the host, whose trait and types are in
-//! [`crate::host`].
+//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time. Whenever
+//! something happens it sets the [`clock`](Control::clock) and calls the method named for it, like
+//! [`view`](Control::view). The control acts by calling the host: trait and types are in [`crate::host`].
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::sync::Arc;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -17,15 +17,12 @@
 use crate::time::{Moment, Span};
 
 /// The last few of something measured.
-struct Samples<T>(VecDeque<T>, usize);
-
-impl<T: Copy> Samples<T> {
-    fn last(size: usize) -> Self {
-        Self(VecDeque::with_capacity(size), size)
-    }
+#[derive(Default)]
+struct Samples<T, const SIZE: usize>(VecDeque<T>);
 
+impl<T: Copy, const SIZE: usize> Samples<T, SIZE> {
     fn add(&mut self, sample: T) {
-        if self.0.len() == self.1 {
+        if self.0.len() == SIZE {
             self.0.pop_front();
         }
         self.0.push_back(sample);
@@ -47,7 +44,7 @@
 }
 
 /// A hit as a sign of how full a cache is, or a fill as one of how full the way to it is.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Load {
     at: Moment,
     /// How many more like it were in hand here at the dispatch, with this one.
@@ -67,12 +64,12 @@
     listed: Listed,
     tier: Tier,
     /// How its last dispatches ended: whether well.
-    signs: Samples<bool>,
-    loads: Samples<Load>,
+    signs: Samples<bool, 16>,
+    loads: Samples<Load, 40>,
     out: u32,
     /// When it last answered, or last got a view with none in hand.
     heard: Moment,
-    gaps: Samples<Span>,
+    gaps: Samples<Span, 16>,
     /// Set while it is left out for what it did; a few trial views go to it after that moment.
     out_until: Option<Moment>,
     outages: i32,
@@ -82,8 +79,7 @@
 
 impl Member {
     fn new(listed: Listed, tier: Tier, out: u32, heard: Moment) -> Self {
-        let (signs, gaps, loads) = (Samples::last(16), Samples::last(16), Samples::last(40));
-        let (drawn, out_until) = Default::default();
+        let (signs, gaps, loads, drawn, out_until) = Default::default();
         Self { listed, tier, signs, loads, out, heard, gaps, out_until, outages: 0, drawn }
     }
 
@@ -122,8 +118,15 @@
     }
 }
 
+/// What is decided by: the facts of the deployment, and of each offering by their names within it.
+struct Policy {
+    facts: Facts,
+    offerings: Vec<Facts>,
+}
+
 /// A view in hand.
 struct Held {
+    policy: Arc<Policy>,
     serial: u64,
     /// Its lot where something is let through in part.
     lot: u64,
@@ -145,7 +148,6 @@
     fn open(&self) -> impl Iterator<Item = (usize, &Dispatch)> {
         self.dispatches.iter().enumerate().filter(|(_, d)| d.end.is_none())
     }
-
     fn errors(&self) -> impl Iterator<Item = &Dispatch> {
         self.dispatches.iter().filter(|d| d.end == Some(ERROR))
     }
@@ -167,15 +169,13 @@
 /// The decisions of one router.
 pub struct Control<H: Host> {
     host: H,
-    facts: Facts,
-    /// The facts of each offering, by their names within it.
-    offerings: Vec<Facts>,
+    policy: Arc<Policy>,
     now: Moment,
     /// How long samples of lateness count, ever less: the longest that a client waits, and again.
     memory: Span,
     chance: Pcg64Mcg,
     /// By offering, hits of caches that had little else in hand: what sending takes by itself.
-    easy: Vec<Samples<Span>>,
+    easy: Vec<Samples<Span, 64>>,
     members: Vec<Member>,
     /// Which of them are of each tier.
     tiers: [Vec<CacheNo>; 4],
@@ -188,17 +188,17 @@
     alarms: BinaryHeap<Reverse<(Moment, u64, ViewNo)>>,
     next_wake: Option<Moment>,
     /// When warm caches of the location served which offering, and when warm parents gave a fill.
-    served: Samples<(Moment, u16)>,
-    fills: Samples<(Moment, u16)>,
+    served: Samples<(Moment, u16), 256>,
+    fills: Samples<(Moment, u16), 128>,
     /// First tries that came in.
-    asked: Samples<(Moment, u16)>,
-    sends: Samples<bool>,
+    asked: Samples<(Moment, u16), 128>,
+    sends: Samples<bool, 64>,
     /// The last hits of any cache of the location.
-    hits: Samples<Load>,
+    hits: Samples<Load, 40>,
     /// The last fills from what a source held, and by way of the origin.
-    fill_loads: [Samples<Load>; 2],
+    fill_loads: [Samples<Load, 40>; 2],
     /// Answers of what fills as it comes: by hit (0), source (1) or origin (2), and their time.
-    filled: Samples<(usize, Span)>,
+    filled: Samples<(usize, Span), 64>,
     /// How many dispatches are out, by their filling.
     filling: [f64; 4],
 }
@@ -222,8 +222,7 @@
     pub fn start(host: H, facts: Facts, seed: u64, now: Moment) -> Result<Self, String> {
         let mut control = Self {
             host,
-            facts,
-            offerings: Vec::new(),
+            policy: Arc::new(Policy { facts: Facts::new(), offerings: Vec::new() }),
             now,
             memory: Span::ZERO,
             chance: Pcg64Mcg::seed_from_u64(seed),
@@ -236,62 +235,71 @@
             swept: now,
             alarms: BinaryHeap::new(),
             next_wake: None,
-            served: Samples::last(256),
-            fills: Samples::last(128),
-            asked: Samples::last(128),
-            sends: Samples::last(64),
-            hits: Samples::last(40),
-            fill_loads: [Samples::last(40), Samples::last(40)],
-            filled: Samples::last(64),
+            served: Default::default(),
+            fills: Default::default(),
+            asked: Default::default(),
+            sends: Default::default(),
+            hits: Default::default(),
+            fill_loads: Default::default(),
+            filled: Default::default(),
             filling: [0.0; 4],
         };
-        ["location", "drain_grace"].into_iter().try_for_each(|name| control.need(name).map(drop))?;
-        for i in 0..control.need("offerings")? as usize {
-            for name in ["cut_off", "latency_goal"] {
-                control.need(&format!("offering.{i}.{name}"))?;
-            }
-            let prefix = format!("offering.{i}.");
-            let own = |(name, it): (&String, &Fact)| Some((name.strip_prefix(&prefix)?.into(), it.clone()));
-            control.offerings.push(control.facts.iter().filter_map(own).collect());
-            control.memory = control.memory.max(control.span_of(i as u16, "cut_off") * 2.0);
-            control.easy.push(Samples::last(64));
-        }
+        control.adopt(facts)?;
         if control.fact("list_on_request", 0.0) > 0.0 {
             control.host.subscribe();
         }
         Ok(control)
     }
 
-    fn need(&self, name: &str) -> Result<f64, String> {
-        self.facts.get(name).and_then(Fact::number).ok_or_else(|| format!("{name} is not set"))
+    /// New views are decided by these facts from now on; nothing changes where one is missing, which it says.
+    pub fn adopt(&mut self, facts: Facts) -> Result<(), String> {
+        let need = |name: &str| facts.get(name).and_then(Fact::number).ok_or(format!("{name} is not set"));
+        ["location", "drain_grace"].into_iter().try_for_each(|name| need(name).map(drop))?;
+        let (mut offerings, mut memory) = (Vec::new(), Span::ZERO);
+        for i in 0..need("offerings")? as usize {
+            let prefix = format!("offering.{i}.");
+            need(&format!("{prefix}latency_goal"))?;
+            memory = memory.max(Span::micros(need(&format!("{prefix}cut_off"))? as u64) * 2.0);
+            let own = |(name, it): (&String, &Fact)| Some((name.strip_prefix(&prefix)?.into(), it.clone()));
+            offerings.push(facts.iter().filter_map(own).collect());
+        }
+        self.memory = memory;
+        self.easy.resize_with(offerings.len(), Default::default);
+        self.policy = Arc::new(Policy { facts, offerings });
+        Ok(())
+    }
+
+    /// Does so by the policy under which that view was taken.
+    fn as_taken(&mut self, no: ViewNo, what: impl FnOnce(&mut Self)) {
+        let newest = Arc::clone(&self.policy);
+        let pinned = self.held(no).filter(|_| self.fact("pinned", 1.0) > 0.0);
+        self.policy = Arc::clone(pinned.map_or(&newest, |held| &held.policy));
+        what(self);
+        self.policy = newest;
     }
 
     fn fact(&self, name: &str, default: f64) -> f64 {
-        self.facts.get(name).and_then(Fact::number).unwrap_or(default)
+        self.policy.facts.get(name).and_then(Fact::number).unwrap_or(default)
     }
-
     fn span(&self, name: &str, default: Span) -> Span {
         Span::micros(self.fact(name, default.as_micros() as f64) as u64)
     }
 
     /// A fact of an offering; nothing where it is not set.
     fn of(&self, offering: u16, what: &str) -> f64 {
-        self.offerings[offering as usize].get(what).and_then(Fact::number).unwrap_or_default()
+        self.policy.offerings[offering as usize].get(what).and_then(Fact::number).unwrap_or_default()
     }
-
     fn span_of(&self, offering: u16, what: &str) -> Span {
         Span::micros(self.of(offering, what) as u64)
     }
-
     fn word_of(&self, offering: u16, what: &str) -> &str {
-        self.offerings[offering as usize].get(what).map_or("", Fact::word)
+        self.policy.offerings[offering as usize].get(what).map_or("", Fact::word)
     }
 
     /// What the control acts through.
     pub fn host(&mut self) -> &mut H {
         &mut self.host
     }
-
     /// The time of all that is called next.
     pub fn clock(&mut self, now: Moment) {
         self.now = now;
@@ -302,22 +310,19 @@
         self.next_wake = None;
         while let Some(&Reverse((_, serial, no))) = self.alarms.peek().filter(|next| next.0.0 <= self.now) {
             self.alarms.pop();
-            if serial == 0 {
-                self.host.subscribe();
-            }
-            if self.held(no).is_some_and(|held| held.serial == serial && !held.finished) {
-                self.due(no);
+            match self.held(no).is_some_and(|held| held.serial == serial && !held.finished) {
+                _ if serial == 0 => self.host.subscribe(),
+                true => self.as_taken(no, |control| control.due(no)),
+                false => {}
             }
         }
         self.plan_wake();
     }
-
     fn alarm(&mut self, at: Moment, no: ViewNo) {
         let serial = self.held(no).map_or(0, |held| held.serial);
         self.alarms.push(Reverse((at, serial, no)));
         self.plan_wake();
     }
-
     fn plan_wake(&mut self) {
         let Some(&Reverse((due, _, _))) = self.alarms.peek() else { return };
         if self.next_wake.is_none_or(|planned| due < planned) {
@@ -329,19 +334,15 @@
     fn held(&self, no: ViewNo) -> Option<&Held> {
         self.views.get(no.0 as usize)?.as_ref()
     }
-
     fn held_mut(&mut self, no: ViewNo) -> Option<&mut Held> {
         self.views.get_mut(no.0 as usize)?.as_mut()
     }
-
     fn member(&self, cache: CacheNo) -> &Member {
         &self.members[cache.0 as usize]
     }
-
     fn member_mut(&mut self, cache: CacheNo) -> &mut Member {
         &mut self.members[cache.0 as usize]
     }
-
     fn tier(&self, tier: Tier) -> impl Iterator<Item = &Member> {
         self.tiers[tier as usize].iter().map(|no| self.member(*no))
     }
@@ -410,7 +411,8 @@
         // The answer must be out before the client leaves: a few milliseconds are kept for it.
         let end = self.now + (left - Span::millis(6));
         let (serial, lot, dispatches) = (self.serial, self.chance.random(), Vec::new());
-        let held = Held { serial, lot, asked, end, dispatches, finished: false };
+        let policy = Arc::clone(&self.policy);
+        let held = Held { policy, serial, lot, asked, end, dispatches, finished: false };
         self.views.resize_with(self.views.len().max(no.0 as usize + 1), || None);
         self.views[no.0 as usize] = Some(held);
         if !asked.repeat && asked.pass == Pass::Free {
@@ -451,7 +453,7 @@
 
     /// What the last samples say together, the less the older: how much was in hand, how late answers were
     /// against their own goals, leaning on what is `usual` where there are few, and what goal work had.
-    fn strain(&self, loads: &Samples<Load>, last: usize, usual: f64) -> [f64; 3] {
+    fn strain(&self, loads: &Samples<Load, 40>, last: usize, usual: f64) -> [f64; 3] {
         let [mut count, mut took, mut work, mut held, mut goal, mut due] = [0.0, 0.0, 1e-6, 1e-6, 1e-6, 1e-6];
         for (load, before) in loads.0.iter().rev().zip(loads.0.iter().rev().skip(1)).take(last) {
             let fresh = (1.0 - self.now.since(load.at).as_secs() / self.memory.as_secs()).max(0.0);
@@ -526,13 +528,12 @@
     }
 
     /// The work per second that these samples stand for, over the time that they span.
-    fn pace(&self, samples: &Samples<(Moment, u16)>) -> f64 {
+    fn pace<const SIZE: usize>(&self, samples: &Samples<(Moment, u16), SIZE>) -> f64 {
         let ends = samples.0.front().zip(samples.0.back());
         let Some((first, last)) = ends.filter(|_| samples.0.len() >= 12) else { return 0.0 };
         let work: f64 = samples.0.iter().map(|sample| self.mean_work(sample.1)).sum();
         work / last.0.since(first.0).as_secs().max(0.5)
     }
-
     fn is_warm(&self, no: CacheNo) -> bool {
         self.warmth(self.member(no)) >= 1.0
     }
@@ -550,15 +551,15 @@
         }
         let asked = self.pace(&self.asked);
         let (multiple, done, least, routers) = match member.tier {
-            Tier::Parent => ("parent_multiple", &self.fills, asked * 0.05, "routers"),
-            _ => ("cold_multiple", &self.served, asked * 0.5, "routers_here"),
+            Tier::Parent => ("parent_multiple", self.pace(&self.fills), asked * 0.05, "routers"),
+            _ => ("cold_multiple", self.pace(&self.served), asked * 0.5, "routers_here"),
         };
         let since = self.now - self.span("warm_within", Span::secs(15.0)) * 2.0;
         let size = f64::from(member.listed.size);
         let part = size / self.size(member.tier, since);
         let bears = match self.fact("size_told", 0.0) > 0.0 {
             true => size / self.fact(routers, 1.0).max(1.0),
-            false => self.pace(done).max(least) * part,
+            false => done.max(least) * part,
         };
         let window = self.span("cold_window", Span::secs(1.0));
         let budget = warmth * bears * self.fact(multiple, 1.0) * window.as_secs() * 0.7;
@@ -576,9 +577,8 @@
         spent == 0.0 && unit(mix(lot, member.listed.stable)) * wanted < budget * 0.7
     }
 
-    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: less as its
-    /// fills took longer than the best one's, so not where all are slow. Could harm where the best can't take
-    /// it all.
+    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: less as its fills
+    /// took longer than the best one's, so not where all are slow. Could harm where the best can't take it all.
     fn fitness(&self, member: &Member) -> f64 {
         if member.tier != Tier::Parent {
             return 1.0;
@@ -598,7 +598,6 @@
     fn ill(&self, member: &Member) -> bool {
         member.out_until.is_some_and(|until| until > self.now || member.out > 0)
     }
-
     fn usual_lateness(&self) -> f64 {
         self.strain(&self.hits, 40, 0.3)[1]
     }
@@ -681,7 +680,7 @@
         // limit or turned back. Guards the link, the parents and the origin, whatever made them late.
         let [near, far] = [0, 1].map(|far| self.fill_crowd(held, far));
         // Where notes do not tell the origin's fills apart, half being quick shows that just those are late.
-        let told = self.facts.get("notes").is_some_and(|notes| notes.word() == "all");
+        let told = self.policy.facts.get("notes").is_some_and(|notes| notes.word() == "all");
         let half = self.fill_loads[0].quantile(0.5, |load| load.took.as_secs() / load.goal);
         let just_origin = !told && half.is_some_and(|half| half < 0.45);
         let filling = match (cache, missed) {
@@ -867,6 +866,10 @@
 
     /// A dispatch ended; `last` says that the view is finished.
     pub fn answered(&mut self, no: ViewNo, nth: u16, end: (Verdict, Note), took: Span, last: bool) {
+        self.as_taken(no, |control| control.ended(no, nth, end, took, last));
+    }
+
+    fn ended(&mut self, no: ViewNo, nth: u16, end: (Verdict, Note), took: Span, last: bool) {
         let now = self.now;
         let (verdict, note) = end;
         let Some(held) = self.held_mut(no) else { return };
@@ -885,7 +888,7 @@
         let work = self.work(&asked);
         let goal = self.goal(asked.offering, work);
         // Where all is told, a late source is told of: a bare time-out may be just a lost answer.
-        let told = self.facts.get("notes").is_some_and(|notes| notes.word() == "all");
+        let told = self.policy.facts.get("notes").is_some_and(|notes| notes.word() == "all");
         let late = verdict == Verdict::TimedOut && !called_off && !told || note == Note::SourceLost;
         let way = match note {
             Note::Filled => 1,
