--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -38,10 +38,13 @@
     pub addresses: BTreeMap<String, SocketAddr>,
 }
 
+/// A whole message, when it is due, and its number among those of its connection.
+type Due = std::cmp::Reverse<(Instant, u64, Vec<u8>)>;
+
 /// Messages that wait for their time on one connection.
 #[derive(Default)]
 struct Waiting {
-    queue: Mutex<(BinaryHeap<std::cmp::Reverse<(Instant, u64, Vec<u8>)>>, bool)>,
+    queue: Mutex<(BinaryHeap<Due>, bool)>,
     more: Condvar,
 }
 
--- a/crates/lab/src/stand_in.rs
+++ b/crates/lab/src/stand_in.rs
@@ -403,6 +403,11 @@
         self.signal(if pause { "-STOP" } else { "-CONT" });
     }
 
+    /// Whether it has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     /// Ends it at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -194,8 +194,7 @@
         let mut seat = start;
         if by_name {
             // Without its guard, a start is taken for the one before it.
-            (start, seat) =
-                (u64::from(crate::fleet::named(&place.name)), u64::from(crate::fleet::named(&place.name)));
+            (start, seat) = (named(&place.name), named(&place.name));
         }
         let mut after = None;
         let mut kept = None;
@@ -262,6 +261,7 @@
     /// Tells the node what happened, at the time that it is now, and carries out what it wants. Nothing is
     /// awaited inside.
     pub fn tell<T>(&self, what: impl FnOnce(&mut Node, Moment) -> T) -> T {
+        let _whole = Whole;
         let (told, mut wants) = {
             let mut node = self.node.borrow_mut();
             let (now, jumped) = self.clock.now();
@@ -332,7 +332,7 @@
     ) {
         while let Ok(write) = waiting.recv().await {
             let number = write.number;
-            if let Some(folder) = folder.as_ref().filter(|_| !unsynced || number < 2) {
+            if let Some(folder) = folder.as_ref().filter(|_| !unsynced || number == 0) {
                 let folder = Arc::clone(folder);
                 if let Err(what) = blocking::unblock(move || folder.write(&write)).await {
                     // What was not written must not be told to have been: it votes no more.
@@ -370,6 +370,7 @@
 
 impl Gate for Fleet {
     fn admits(&self) -> std::result::Result<Admitted, Span> {
+        let _whole = Whole;
         let mut node = self.node.borrow_mut();
         let (now, jumped) = self.clock.now();
         if jumped {
@@ -394,6 +395,19 @@
     }
 }
 
+/// Stands while the node is at work. A task that panics is dropped and the others go on; but what is half done here
+/// must not be gone by, nor voted by: the process ends, and comes back as another start.
+struct Whole;
+
+impl Drop for Whole {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            tracing::error!("the router's part in its fleet has failed: it ends");
+            std::process::exit(101);
+        }
+    }
+}
+
 /// One line for each step.
 fn log(step: &Step) {
     match step {
@@ -409,8 +423,10 @@
 }
 
 /// A number that is the same for the same name.
-fn named(name: &str) -> u32 {
-    name.bytes().fold(17, |hash: u32, byte| hash.wrapping_mul(31).wrapping_add(u32::from(byte))) | 1
+fn named(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
 }
 
 /// All guards stand. An experiment of the lab may name one to take out, in a build for tests only.
--- a/crates/router/src/folder.rs
+++ b/crates/router/src/folder.rs
@@ -3,7 +3,7 @@
 
 use std::path::{Path, PathBuf};
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Context, Result, anyhow, ensure};
 use redb::{Database, ReadableTable, TableDefinition};
 use tindoor_council::{Kept, Write};
 
@@ -28,7 +28,9 @@
     pub fn open(path: &Path, seat: u64, start: u64) -> Result<(Self, Found)> {
         std::fs::create_dir_all(path).with_context(|| format!("{}", path.display()))?;
         let file = path.join("seat.redb");
-        match Self::read(&file, seat, start) {
+        // The library panics at some damage that it did not foresee.
+        let read = std::panic::catch_unwind(|| Self::read(&file, seat, start));
+        match read.unwrap_or_else(|_| Err(anyhow!("it can't be read"))) {
             Ok(read) => Ok(read),
             // One that another process has open is not damaged.
             Err(what) if matches!(what.downcast_ref(), Some(redb::DatabaseError::DatabaseAlreadyOpen)) => {
