A change is decided by three clocks, which stay until it holds; a list is looked up, not searched

Now clocks stay until the change holds, and a change is decided only by as many clocks as there are voters, three at most.

--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -144,6 +144,9 @@
     pub(crate) limits: Limits,
     pub(crate) guards: Guards,
     pub(crate) agreed: Agreed,
+    /// The listed routers by lot, and seats with whose they are: looked up for each message, so not searched for.
+    routers: Vec<Start>,
+    seats: BTreeMap<u64, (Start, String)>,
     /// The last entries that were taken in, without a gap up to the index.
     ring: VecDeque<Vec<u8>>,
     pub(crate) clocks: Clocks,
@@ -210,6 +213,8 @@
             limits,
             guards,
             agreed,
+            routers: Vec::new(),
+            seats: BTreeMap::new(),
             ring: VecDeque::new(),
             lease: Lease::default(),
             silence: Silence::default(),
@@ -232,6 +237,7 @@
             beats: 0,
             out: Vec::new(),
         };
+        node.look_up();
         node.saw_all(now);
         node.progress(now);
         Ok(node)
@@ -386,10 +392,8 @@
     pub fn status(&mut self, now: Moment) -> Status {
         let out = self.version(now).err();
         let name = |seat: &u64| {
-            let mut listed = self.agreed.roll.listed().values();
-            listed
-                .find(|listed| listed.seat == Some(*seat))
-                .map_or(format!("{seat:016x}"), |l| l.name.clone())
+            let holder = self.seats.get(seat).and_then(|(start, _)| self.agreed.roll.get(*start));
+            holder.map_or(format!("{seat:016x}"), |listed| listed.name.clone())
         };
         let staged = self.agreed.staged.as_ref().map(|staged| {
             let Version { generation, made_from, hash, .. } = &staged.version;
@@ -466,8 +470,21 @@
 
     /// Seats' addresses, where they are listed.
     fn seat_address(&self, seat: u64) -> Option<&str> {
-        let mut listed = self.agreed.roll.listed().values();
-        listed.find(|listed| listed.seat == Some(seat)).map(|listed| listed.address.as_str())
+        self.seats.get(&seat).map(|(_, address)| address.as_str())
+    }
+
+    /// The list has changed: what is looked up in it is made anew.
+    fn look_up(&mut self) {
+        let listed = self.agreed.roll.listed();
+        self.routers = listed.keys().copied().collect();
+        let seat =
+            |(start, listed): (&Start, &Listed)| Some((listed.seat?, (*start, listed.address.clone())));
+        self.seats = listed.iter().filter_map(seat).collect();
+    }
+
+    /// The voters that are listed.
+    fn voters(&self) -> impl Iterator<Item = Start> {
+        self.agreed.voters.iter().filter_map(|seat| Some(self.seats.get(seat)?.0))
     }
 
     fn leader_address(&self) -> Option<String> {
@@ -533,6 +550,7 @@
         }
         self.ring.push_back(postcard::to_stdvec(&entry).expect("plain values have a form"));
         let changed = matches!(entry, Entry::Voters(_));
+        let listed = matches!(entry, Entry::Join { .. } | Entry::Leave { .. });
         for step in self.agreed.apply(index, entry) {
             match &step {
                 Step::Proposed(generation) => self.ask_check(*generation),
@@ -543,6 +561,9 @@
             }
             self.out.push(Out::Step(step));
         }
+        if listed {
+            self.look_up();
+        }
         if let Some(voter) = &mut self.voter {
             let agreed = &self.agreed;
             voter.fold(index, changed, &agreed.voters, || {
@@ -576,6 +597,7 @@
         let before = self.agreed.generation();
         self.agreed = agreed;
         self.ring.clear();
+        self.look_up();
         self.saw_all(now);
         if self.agreed.generation() != before {
             self.out.push(Out::Step(Step::Held(self.agreed.generation())));
@@ -711,30 +733,16 @@
     /// A router of the list by lot, rarely one that has been silent for long.
     fn some_peer(&mut self, now: Moment, voters_only: bool) -> Option<String> {
         for _ in 0..4 {
-            let agreed = &self.agreed;
-            let others: Vec<(&Start, &Listed)> = match voters_only {
-                true => {
-                    let votes =
-                        |listed: &Listed| listed.seat.is_some_and(|seat| agreed.voters.contains(&seat));
-                    agreed
-                        .roll
-                        .listed()
-                        .iter()
-                        .filter(|(start, l)| **start != self.own.start && votes(l))
-                        .collect()
-                }
-                false => {
-                    let count = agreed.roll.listed().len();
-                    let at = self.chance.random_range(0..count.max(1));
-                    let nth = agreed.roll.listed().iter().nth(at);
-                    nth.into_iter().filter(|(start, _)| **start != self.own.start).collect()
-                }
-            };
-            if others.is_empty() {
-                continue;
+            let voters: Vec<Start> = self.voters().filter(|_| voters_only).collect();
+            let among = if voters_only { &voters } else { &self.routers };
+            if among.is_empty() {
+                return None;
             }
-            let (start, listed) = others[self.chance.random_range(0..others.len())];
-            let silent = self.silence.of(*start, now, self.terms.beat * 4.0).is_some_and(|usual| usual > 4.0);
+            let start = among[self.chance.random_range(0..among.len())];
+            let Some(listed) = self.agreed.roll.get(start).filter(|_| start != self.own.start) else {
+                continue;
+            };
+            let silent = self.silence.of(start, now, self.terms.beat * 4.0).is_some_and(|usual| usual > 4.0);
             if !silent || self.chance.random_bool(0.25) {
                 return Some(listed.address.clone());
             }
@@ -802,20 +810,14 @@
             self.lead = None;
         }
         self.reckon(now);
-        self.forget(now);
+        self.forget();
     }
 
     /// Memory stays bounded by the list.
-    fn forget(&mut self, now: Moment) {
+    fn forget(&mut self) {
+        let voters: Vec<Start> = self.voters().collect();
         let agreed = &self.agreed;
-        let seats: Vec<Start> = agreed
-            .roll
-            .listed()
-            .iter()
-            .filter(|(_, listed)| listed.seat.is_some_and(|seat| agreed.voters.contains(&seat)))
-            .map(|(start, _)| *start)
-            .collect();
-        self.clocks.keep(|clock| agreed.clocks.contains_key(&clock) || seats.contains(&clock));
+        self.clocks.keep(|clock| agreed.clocks.contains_key(&clock) || voters.contains(&clock));
         self.lease.keep(|start| agreed.roll.has(start));
         self.silence.keep(|start| agreed.roll.has(start));
         let oldest =
@@ -826,7 +828,6 @@
         {
             self.seen.pop_first();
         }
-        let _ = now;
     }
 
     fn say_opinion(&mut self, now: Moment) {
@@ -940,7 +941,9 @@
         if !self.guards.staged {
             return Some(FleetTime(time.middle()));
         }
-        if time.bound() > self.terms.bound * 0.5 {
+        // With fewer clocks than three, as far as there are voters to have them, one that jumps is not seen.
+        let clocks = self.agreed.clocks.len() >= self.agreed.voters.len().min(3);
+        if time.bound() > self.terms.bound * 0.5 || !clocks {
             return None;
         }
         let lease = self.terms.lease + self.terms.drift(self.terms.lease);
--- a/crates/policy/src/agreed.rs
+++ b/crates/policy/src/agreed.rs
@@ -200,13 +200,12 @@
             Entry::Found { .. } => Vec::new(),
             Entry::Join { start, listed, after } => {
                 self.roll.join(index, start, listed, after);
-                let roll = &self.roll;
-                self.clocks.retain(|clock, _| roll.has(*clock));
+                self.forget_clocks();
                 vec![Step::Listed(start)]
             }
             Entry::Leave { start, ended } => {
                 self.roll.leave(index, start, ended);
-                self.clocks.remove(&start);
+                self.forget_clocks();
                 vec![Step::Unlisted(start)]
             }
             Entry::Retire { before } => {
@@ -249,6 +248,7 @@
                 let before = self.in_force.replace(staged.version.clone());
                 self.probation = before.filter(|_| staged.undoes.is_none()).map(|old| (generation, old));
                 self.remember(staged, End::TookHold);
+                self.forget_clocks();
                 vec![Step::Held(generation)]
             }
             Entry::Kept { generation, finding } => {
@@ -260,6 +260,15 @@
         }
     }
 
+    /// Clocks of routers that are no longer listed go; but not once a change is decided: what was read of them still
+    /// tells its moment, and with one clock left nobody would see it jump.
+    fn forget_clocks(&mut self) {
+        if self.staged.as_ref().is_none_or(|staged| staged.at.is_none()) {
+            let roll = &self.roll;
+            self.clocks.retain(|clock, _| roll.has(*clock));
+        }
+    }
+
     fn propose(&mut self, index: u64, proposal: Proposal) -> Vec<Step> {
         let Proposal { token, made_from, policy, undoes, by, note } = proposal;
         let under_way = self.staged.as_ref().is_some_and(|staged| staged.token == token);
