--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,6 @@
 //! All decisions of the router: where a view goes, where its fill comes from, when it is given up.
 //!
-//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time. Whenever
+//! A caller builds one [`Control`] with a [`Host`], the facts of its deployment, a seed and the time. When
 //! something happens it sets the [`clock`](Control::clock) and calls the method named for it, like
 //! [`view`](Control::view). The control acts by calling the host: trait and types are in [`crate::host`].
 
@@ -577,8 +577,8 @@
         spent == 0.0 && unit(mix(lot, member.listed.stable)) * wanted < budget * 0.7
     }
 
-    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: less as its fills
-    /// took longer than the best one's, so not where all are slow. Could harm where the best can't take it all.
+    /// The part of its objects that a slow parent keeps, a tenth at least to see it recover: less as fills
+    /// took longer than the best one's, so not where all are slow. Could harm where the best can't do it all.
     fn fitness(&self, member: &Member) -> f64 {
         if member.tier != Tier::Parent {
             return 1.0;
