--- a/crates/council/src/frames.rs
+++ b/crates/council/src/frames.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tindoor_fleet::{Interval, Listed, Start};
 use tindoor_policy::{Count, Proposal};
+use tindoor_shares::{Lend, Want};
 
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -45,6 +46,9 @@
     },
     /// A message of the `raft` library.
     Raft(Vec<u8>),
+    /// What parts of the fleet's budgets its sender wants and holds, and what it is lent.
+    Want(Want),
+    Lend(Lend),
     /// Something for the leader; passed on where it isn't, at most so often.
     Command(u8, Command),
 }
--- a/crates/council/src/lead.rs
+++ b/crates/council/src/lead.rs
@@ -91,7 +91,8 @@
         }
         match command {
             Command::Join { start, listed, after } => {
-                if self.agreed.roll.get(start) != Some(&listed) {
+                let same = self.agreed.roll.named(&listed.name).is_some();
+                if self.agreed.roll.get(start) != Some(&listed) && (same || self.has_place()) {
                     self.enter(now, Entry::Join { start, listed, after });
                 }
             }
--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use tindoor::time::{Moment, Span};
 use tindoor_fleet::{Clocks, FleetTime, Interval, Lease, Listed, Silence, Start, Terms, Word};
-use tindoor_policy::{Agreed, Bounds, Count, Entry, Policy, Proposal, Step, Tally, Version};
+use tindoor_policy::{Agreed, Bounds, Count, Entry, Policy, Proposal, Step, Tally, Version, budgets};
+use tindoor_shares::{Party, Plan};
 
 use crate::frames::{Body, Command, Frame, News};
 use crate::lead::Lead;
@@ -51,6 +52,12 @@
     /// Times a command is passed on.
     pub hops: u8,
     pub probation: Bounds,
+    /// Fleets up to so many routers are lent to by the leader itself; in larger ones one of each location lends on.
+    pub lent_to: usize,
+    /// Questions in a row without answer, after which another of the location is asked.
+    pub vain: u32,
+    /// By how much this router counts where budgets are divided.
+    pub weight: u64,
 }
 
 impl Default for Limits {
@@ -67,6 +74,9 @@
             again: 2,
             hops: 3,
             probation: Bounds::default(),
+            lent_to: 64,
+            vain: 3,
+            weight: 1,
         }
     }
 }
@@ -80,11 +90,13 @@
     pub staged: bool,
     /// A proposal is made from what is in force.
     pub compare: bool,
+    /// Those of budgets.
+    pub shares: tindoor_shares::Guards,
 }
 
 impl Default for Guards {
     fn default() -> Self {
-        Self { lease: true, staged: true, compare: true }
+        Self { lease: true, staged: true, compare: true, shares: tindoor_shares::Guards::default() }
     }
 }
 
@@ -169,6 +181,16 @@
     opinions: BTreeMap<u64, Option<String>>,
     /// The newest generation that has decided a view here: there is no way back.
     used: u64,
+    shares: Party,
+    /// Between which generations what is divided was last made out; and what it is.
+    planned: Option<(u64, u64)>,
+    plans: (Plan, Option<Plan>),
+    /// Since when this router surely leads, by the last majority that confirmed it, and in which term.
+    confirmed: Option<(u64, Moment)>,
+    /// How many of the location were passed over as they did not answer, and since when.
+    passed: (usize, Moment),
+    /// Since when this start is listed.
+    listed_since: Option<Moment>,
     chance: Pcg64Mcg,
     ticks: u32,
     beats: u32,
@@ -207,6 +229,12 @@
         let mut node = Self {
             fleet: fleet.to_string(),
             clocks: Clocks::of(own.start),
+            shares: Party::new(own.start, terms, guards.shares, limits.weight),
+            planned: None,
+            plans: Default::default(),
+            confirmed: None,
+            passed: (0, now),
+            listed_since: None,
             own,
             terms,
             limits,
@@ -324,8 +352,111 @@
         if self.opinions.get(&version.generation).is_some_and(Option::is_some) {
             return Err(Why::Unfit);
         }
-        self.used = self.used.max(version.generation);
-        Ok(version)
+        let generation = version.generation;
+        if self.used < generation {
+            self.used = generation;
+            self.plan(now);
+        }
+        self.going_by(generation).ok_or(Why::NotListed)
+    }
+
+    fn going_by(&self, generation: u64) -> Option<&Version> {
+        let staged = self.agreed.staged.as_ref().map(|staged| &staged.version);
+        staged.into_iter().chain(&self.agreed.in_force).find(|version| version.generation == generation)
+    }
+
+    /// What is divided under the policy that this router goes by, and under the one that is decided.
+    fn plan(&mut self, now: Moment) {
+        let decided = self.agreed.staged.as_ref().filter(|staged| staged.at.is_some());
+        let next = decided.map(|staged| &staged.version).filter(|next| next.generation > self.used);
+        let going_by = match decided {
+            Some(staged) if staged.version.generation <= self.used => Some(&staged.version),
+            _ => self.agreed.in_force.as_ref(),
+        };
+        let generation = |version: Option<&Version>| version.map_or(0, |version| version.generation);
+        let between = (generation(going_by), generation(next));
+        if self.planned == Some(between) {
+            return;
+        }
+        let plan = |version: &Version| budgets::plan(&version.policy);
+        let plans = (going_by.map(plan).unwrap_or_default(), next.map(plan));
+        self.shares.plan(now, &plans.0, plans.1.as_ref());
+        (self.planned, self.plans) = (Some(between), plans);
+    }
+
+    /// How many processes may act as listed ones.
+    pub fn possible(&self) -> usize {
+        self.agreed.roll.possible()
+    }
+
+    /// Whether one more process may come to be listed: each that may spend has its floor kept.
+    pub(crate) fn has_place(&self) -> bool {
+        let staged = self.agreed.staged.as_ref().map(|staged| &staged.version);
+        let most = staged.into_iter().chain(&self.agreed.in_force);
+        let most = most.filter_map(|version| budgets::routers_most(&version.policy)).min();
+        most.is_none_or(|most| (self.possible() as u64) < most)
+    }
+
+    /// What this router may spend of the fleet's budgets.
+    pub fn shares(&mut self) -> &mut Party {
+        &mut self.shares
+    }
+
+    /// Asks for shares, and takes up those of a router that leads.
+    fn see_to_shares(&mut self, now: Moment) {
+        self.plan(now);
+        if !self.agreed.roll.has(self.own.start) {
+            self.listed_since = None;
+        } else if self.listed_since.is_none() {
+            self.listed_since = Some(now);
+        }
+        // A process that had this name before takes no more views from a lease after it was taken off the list: by
+        // then its floor is this one's.
+        let lease = self.terms.lease + self.terms.drift(self.terms.lease);
+        self.shares.floors(now, self.listed_since.is_some_and(|since| now.since(since) >= lease));
+        if self.shares.is_idle() {
+            return;
+        }
+        let term = self.voter.as_ref().filter(|voter| voter.leads()).map(Voter::term);
+        match term.filter(|_| self.agreed.roll.has(self.own.start)) {
+            Some(term) => {
+                let confirmed = self.confirmed.filter(|(of, _)| *of == term).map(|(_, at)| at);
+                self.shares.leads(now, term, confirmed);
+            }
+            None => {
+                self.shares.follows();
+                if let Some(to) = self.lender(now)
+                    && let Some(want) = self.shares.ask(now)
+                {
+                    self.send(&to, Body::Want(want));
+                }
+            }
+        }
+        let roll = &self.agreed.roll;
+        self.shares.keep(now, |start| roll.has(start));
+    }
+
+    /// Whom to ask: the leader; in a large fleet the first of the own location that answers, which asks the leader.
+    fn lender(&mut self, now: Moment) -> Option<String> {
+        let listed = self.agreed.roll.listed();
+        if !self.agreed.roll.has(self.own.start) {
+            return None;
+        }
+        if listed.len() > self.limits.lent_to {
+            if self.shares.vain() >= self.limits.vain {
+                self.shares.turns();
+                self.passed = (self.passed.0 + 1, now);
+            } else if now.since(self.passed.1) > self.terms.lease * 4.0 {
+                self.passed = (0, now);
+            }
+            let mut here = listed.iter().filter(|(_, other)| other.location == self.own.location);
+            if let Some((first, other)) = here.nth(self.passed.0)
+                && *first < self.own.start
+            {
+                return Some(other.address.clone());
+            }
+        }
+        self.leader_address().filter(|leader| *leader != self.own.address)
     }
 
     /// The policy that decides views, whether or not this router may take any: for what is told of it.
@@ -342,6 +473,8 @@
     pub fn jumped(&mut self, now: Moment) {
         self.clocks.jumped();
         self.lease.lapse();
+        self.shares.jumped(now);
+        self.confirmed = None;
         self.asked.clear();
         self.reads.clear();
         // What was to be waited for by this clock is waited for anew.
@@ -452,6 +585,13 @@
             Body::Command(hops, command @ Command::Join { .. }) => self.bring(now, hops, command),
             _ if !known => {}
             Body::Tell { .. } => self.told(now, from, body),
+            Body::Want(want) => {
+                if let Some(lend) = self.shares.asked(now, from, want).filter(|_| self.agreed.roll.has(from))
+                {
+                    self.send(&address, Body::Lend(lend));
+                }
+            }
+            Body::Lend(lend) => self.shares.lent(now, lend),
             Body::Raft(bytes) => {
                 if let Some(voter) = &mut self.voter {
                     voter.step(&bytes);
@@ -517,6 +657,10 @@
         }
         for (number, index) in reads {
             if let Some(at) = self.reads.remove(&number) {
+                // What is lent by its word must be lent by all that was agreed then.
+                if let Some(voter) = self.voter.as_ref().filter(|v| v.leads() && index <= self.agreed.index) {
+                    self.confirmed = Some((voter.term(), at)).max(self.confirmed);
+                }
                 self.lease.voters(&self.terms, self.agreed.index, Word { index, at });
             }
         }
@@ -804,6 +948,7 @@
             self.lead = None;
         }
         self.reckon(now);
+        self.see_to_shares(now);
         self.forget();
     }
 
--- a/crates/fleet/src/roll.rs
+++ b/crates/fleet/src/roll.rs
@@ -60,6 +60,13 @@
         self.listed.iter().find(|(_, listed)| listed.name == name).map(|(start, _)| *start)
     }
 
+    /// How many processes may still act as listed ones: the listed, and those of lists that some may still hold.
+    pub fn possible(&self) -> usize {
+        let went: BTreeSet<Start> = self.steps.iter().flat_map(|step| step.went.iter().copied()).collect();
+        let gone = went.iter().filter(|start| !self.has(**start) && !self.ended.contains(start));
+        self.listed.len() + gone.count()
+    }
+
     /// A router joins; whoever had its name, or its seat, goes. With `after`, that one is proved to have ended.
     pub fn join(&mut self, index: u64, start: Start, listed: Listed, after: Option<Start>) {
         let same =
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -101,9 +101,12 @@
         /// Faults by name, with commas between; `all` for every one.
         #[arg(long, default_value = "")]
         faults: String,
-        /// Takes one guard out: lease, staged, compare.
+        /// Takes one guard out: lease, staged, compare; with a budget lapse, epoch, returned, burst, wakes, floor.
         #[arg(long)]
         without: Option<String>,
+        /// Divides so many fills by the origin a second among the routers.
+        #[arg(long)]
+        budget: Option<f64>,
     },
     /// Memory of the router with calls held open.
     Memory {
@@ -141,7 +144,7 @@
             let Common { seed, views, seconds, .. } = common;
             (common, policy::run(&policy::Plan { seed, views, seconds, routers, faults, without }))
         }
-        Experiment::Simulated { common, days, routers, faults, without } => {
+        Experiment::Simulated { common, days, routers, faults, without, budget } => {
             let figures = simulated::run(&simulated::Plan {
                 seed: common.seed,
                 seconds: common.seconds,
@@ -149,6 +152,7 @@
                 routers,
                 faults,
                 without,
+                budget,
             });
             (common, figures)
         }
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -20,6 +20,8 @@
     pub routers: usize,
     pub faults: String,
     pub without: Option<String>,
+    /// Fills by the origin each second, where they are divided.
+    pub budget: Option<f64>,
 }
 
 /// The faults named, each of which there is.
@@ -38,11 +40,15 @@
     let mut first = Day::new(plan.seed, plan.routers);
     first.faults = named(&plan.faults, FAULTS)?;
     first.lasts = Span::secs(plan.seconds as f64);
+    first.budget = plan.budget;
     first.guards = match plan.without.as_deref() {
         None => Guards::default(),
         Some("lease") => Guards { lease: false, ..Guards::default() },
         Some("staged") => Guards { staged: false, ..Guards::default() },
         Some("compare") => Guards { compare: false, ..Guards::default() },
+        Some(guard) if plan.budget.is_some() => {
+            Guards { shares: guard_of_shares(guard)?, ..Guards::default() }
+        }
         Some(other) => bail!("no such guard: {other}"),
     };
     let begun = Instant::now();
@@ -92,6 +98,12 @@
         ("out_at_end", json!(sum(|came| came.out_at_end))),
         ("hold_ms_p50", json!(at(0.5))),
         ("hold_ms_p99", json!(at(0.99))),
+        ("windows_over", json!(sum(|came| came.windows_over))),
+        ("in_hand_over", json!(sum(|came| came.in_hand_over))),
+        ("granted_over", json!(sum(|came| came.granted_over))),
+        ("most_granted", json!(came.iter().map(|(_, c)| c.most_granted).max())),
+        ("starved", json!(sum(|came| came.starved))),
+        ("used_of_whole", json!(used(&came))),
         ("messages_each_second", json!(rate(&came, plan, |came| came.messages))),
         ("bytes_each_second", json!(rate(&came, plan, |came| came.bytes))),
         ("failing_seeds", json!(failing.iter().take(20).collect::<Vec<_>>())),
@@ -101,6 +113,28 @@
     Ok(figures)
 }
 
+/// How much of what there was in calm times was used.
+fn used(came: &[(u64, Came)]) -> f64 {
+    let [filled, allowed] = [|came: &Came| came.filled, |came: &Came| came.allowed]
+        .map(|of| came.iter().map(|(_, c)| of(c)).sum());
+    filled / f64::max(allowed, 1.0)
+}
+
+/// All guards of budgets but the one named.
+pub fn guard_of_shares(name: &str) -> Result<tindoor_shares::Guards> {
+    let mut guards = tindoor_shares::Guards::default();
+    match name {
+        "lapse" => guards.lapse = false,
+        "epoch" => guards.epoch = false,
+        "returned" => guards.returned = false,
+        "burst" => guards.burst = false,
+        "wakes" => guards.wakes = false,
+        "floor" => guards.floor = false,
+        other => bail!("no such guard: {other}"),
+    }
+    Ok(guards)
+}
+
 /// Of one router, in its own time.
 fn rate(came: &[(u64, Came)], plan: &Plan, what: fn(&Came) -> u64) -> f64 {
     let sum: u64 = came.iter().map(|(_, came)| what(came)).sum();
--- /dev/null
+++ b/crates/policy/src/budgets.rs
@@ -0,0 +1,134 @@
+//! The budgets that a policy declares, as what is divided among the routers.
+
+use tindoor::time::Span;
+use tindoor_shares::{Kind, Line, Plan, Share, UNIT, Whole};
+
+use crate::Policy;
+
+/// Each budget by the number that its lines carry between routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u16)]
+pub enum Budget {
+    /// Fills by the origin: of the fleet, and within that of each location and of each offering.
+    OriginFills = 1,
+    LocationFills = 2,
+    OfferingFills = 3,
+    /// Those that are under way at once.
+    FillsInHand = 4,
+    /// Dispatches after one that failed.
+    Further = 5,
+    /// Plain looks, and new connections, to each cache.
+    Looks = 6,
+    Connections = 7,
+    /// Views of each account.
+    Accounts = 8,
+    /// The allowance of each cold cache, among the routers of its location, and of each cold parent.
+    ColdCaches = 9,
+    ColdParents = 10,
+}
+
+impl Budget {
+    /// Its line for one of its scope; 0 for the fleet.
+    pub fn of(self, of: u64) -> Line {
+        Line { budget: self as u16, of }
+    }
+}
+
+/// What stands for an offering in a line (FNV-1a of its name), the same at every router.
+pub fn number(name: &str) -> u64 {
+    let mix = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, mix)
+}
+
+/// The part of a whole that is kept for floors where the policy says nothing.
+const FLOOR_PART: f64 = 0.1;
+
+/// How many routers may belong at most, where the policy divides anything.
+pub fn routers_most(policy: &Policy) -> Option<u64> {
+    policy.0.get("budget.routers_most").map(|most| *most as u64)
+}
+
+/// How many further dispatches a view that was done at its first one allows, at the router that has done it.
+pub fn per_success(policy: &Policy) -> Option<f64> {
+    policy.0.get("budget.further.per_success").copied()
+}
+
+/// What is divided under that policy.
+pub fn plan(policy: &Policy) -> Plan {
+    let mut plan = Plan::default();
+    let Some(routers) = routers_most(policy).filter(|most| *most > 0) else { return plan };
+    let get = |name: &str| policy.0.get(name).copied();
+    let part = get("budget.floor_part").unwrap_or(FLOOR_PART);
+    let rate = |name: &str| {
+        let share = Share::rate(get(&format!("{name}per_s"))?, get(&format!("{name}burst"))?);
+        let flow = (share.flow as f64 * part / routers as f64) as u64;
+        // Under one unit of burst nothing would ever be let through.
+        let floor = Share { flow, stock: UNIT };
+        Some(Whole { kind: Kind::Rate, share, floor, routers, lag: Span::ZERO })
+    };
+    let rates = [
+        (Budget::OriginFills, "budget.origin_fills."),
+        (Budget::LocationFills, "budget.location_fills."),
+        (Budget::Further, "budget.further."),
+        (Budget::Looks, "budget.looks."),
+        (Budget::Connections, "budget.connections."),
+        (Budget::Accounts, "budget.accounts."),
+    ];
+    for (budget, name) in rates {
+        plan.any.extend(rate(name).map(|whole| (budget as u16, whole)));
+    }
+    for name in policy.0.keys() {
+        let of = name.strip_prefix("offering.").and_then(|rest| rest.strip_suffix(".origin_fills_per_s"));
+        let Some(offering) = of else { continue };
+        let whole = rate(&format!("offering.{offering}.origin_fills_"));
+        plan.one.extend(whole.map(|whole| (Budget::OfferingFills.of(number(offering)), whole)));
+    }
+    let ms = |name: &str| get(name).map(|ms| Span::micros((ms * 1000.0) as u64));
+    if let Some(most) = get("budget.origin_fills.in_hand") {
+        let floor = Share::level((most * part / routers as f64).floor());
+        // A fill that was begun lasts as long as its view at most.
+        let cut_offs = policy.0.iter().filter(|(name, _)| name.ends_with(".cut_off_ms"));
+        let longest = cut_offs.map(|(_, ms)| *ms).fold(0.0, f64::max);
+        let lag = Span::micros((longest * 1000.0) as u64);
+        let whole = Whole { kind: Kind::Level, share: Share::level(most), floor, routers, lag };
+        plan.any.insert(Budget::FillsInHand as u16, whole);
+    }
+    if get("budget.cold_parts") == Some(1.0) {
+        let share = Share::level(1000.0);
+        let floor = Share { flow: 0, stock: (share.stock as f64 * part / routers as f64) as u64 };
+        let lag = ms("cold_window_ms").unwrap_or(Span::millis(1000));
+        let whole = Whole { kind: Kind::Part, share, floor, routers, lag };
+        plan.any.extend([Budget::ColdCaches, Budget::ColdParents].map(|budget| (budget as u16, whole)));
+    }
+    plan
+}
+
+/// What can't stand beside what, by the key at fault.
+pub fn check(policy: &Policy) -> Result<(), String> {
+    let get = |name: &str| policy.0.get(name).copied();
+    let routers = get("budget.routers_most");
+    for name in policy.0.keys() {
+        let Some(prefix) = name.strip_suffix("per_s") else {
+            let budget = name.starts_with("budget.") && name != "budget.floor_part";
+            if budget && routers.is_none() {
+                return Err(format!("{name}: without budget.routers_most, by which floors are kept"));
+            }
+            continue;
+        };
+        let burst = get(&format!("{prefix}burst"));
+        let Some(routers) = routers else {
+            return Err(format!("{name}: without budget.routers_most, by which floors are kept"));
+        };
+        // Half of it are floors of one unit, the other half is divided.
+        match burst {
+            None => return Err(format!("{name}: without {prefix}burst")),
+            Some(burst) if burst < 2.0 * routers => {
+                return Err(format!(
+                    "{prefix}burst: {burst} is under two for each of the {routers} routers that may belong"
+                ));
+            }
+            Some(_) => {}
+        }
+    }
+    Ok(())
+}
--- a/crates/policy/src/keys.rs
+++ b/crates/policy/src/keys.rs
@@ -50,6 +50,7 @@
 
 const HOUR: f64 = 3_600_000.0;
 const FLAG: [f64; 2] = [0.0, 1.0];
+const RATE: [f64; 2] = [0.0, 1e6];
 
 use Unit::{Count, Flag, Ms, Number};
 use When::{AtStart, InService};
@@ -206,6 +207,46 @@
         AtStart,
         "in which a purge holds: calls are bounded by it",
     ),
+    key(
+        "budget.routers_most",
+        "",
+        Count,
+        [1.0, 8192.0],
+        InService,
+        "routers that may belong: no more are listed, and each has a floor",
+    ),
+    key("budget.floor_part", "", Number, [0.0, 0.5], InService, "the part of each whole that floors are"),
+    key("budget.origin_fills.per_s", "", Number, RATE, InService, "fills by the origin, of the whole fleet"),
+    key("budget.origin_fills.burst", "", Number, RATE, InService, "and how many at a stroke"),
+    key("budget.origin_fills.in_hand", "", Count, RATE, InService, "fills by the origin under way at once"),
+    key("budget.location_fills.per_s", "", Number, RATE, InService, "the same of each location, within it"),
+    key("budget.location_fills.burst", "", Number, RATE, InService, "and how many at a stroke"),
+    key("offering.*.origin_fills_per_s", "", Number, RATE, InService, "the same of an offering, within it"),
+    key("offering.*.origin_fills_burst", "", Number, RATE, InService, "and how many at a stroke"),
+    key("budget.further.per_s", "", Number, RATE, InService, "dispatches after one that failed"),
+    key("budget.further.burst", "", Number, RATE, InService, "and how many at a stroke"),
+    key(
+        "budget.further.per_success",
+        "",
+        Number,
+        [0.0, 10.0],
+        InService,
+        "how many a view that was done at its first dispatch allows",
+    ),
+    key("budget.looks.per_s", "", Number, RATE, InService, "plain looks at each cache"),
+    key("budget.looks.burst", "", Number, RATE, InService, "and how many at a stroke"),
+    key("budget.connections.per_s", "", Number, RATE, InService, "new connections to each cache"),
+    key("budget.connections.burst", "", Number, RATE, InService, "and how many at a stroke"),
+    key("budget.accounts.per_s", "", Number, RATE, InService, "views of each account"),
+    key("budget.accounts.burst", "", Number, RATE, InService, "and how many at a stroke"),
+    key(
+        "budget.cold_parts",
+        "",
+        Flag,
+        FLAG,
+        InService,
+        "what cold caches and parents bear is divided by who asks, not by numbers told at the start",
+    ),
     key("limit.open_views", "", Count, [1.0, 4096.0], InService, "views in hand at once, at each router"),
 ];
 
@@ -255,7 +296,7 @@
             ));
         }
     }
-    Ok(())
+    crate::budgets::check(policy)
 }
 
 /// Whether the second policy can follow the first in service.
@@ -266,7 +307,9 @@
         if key.when == AtStart {
             return Err(format!("{name}: changes at a start only"));
         }
-        if new.is_none() && old.is_some() {
+        // A budget may go again: then it is not limited.
+        let budget = name.starts_with("budget.") || name.contains(".origin_fills_");
+        if new.is_none() && old.is_some() && !budget {
             return Err(format!("{name}: missing, and it was set"));
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! lots. What is promised, and why it holds, is in `docs/design/policy.md`.
 
 mod agreed;
+pub mod budgets;
 pub mod keys;
 mod probation;
 mod value;
--- /dev/null
+++ b/crates/shares/src/purse.rs
@@ -0,0 +1,308 @@
+//! What one router may spend of one line: its floor always, its grant until that lapses. Compared with the clock at
+//! each spending, so one that slept past its lease spends nothing of it before it has asked.
+
+use std::collections::VecDeque;
+
+use tindoor::time::{Moment, Span};
+
+use crate::{Kind, Share, UNIT, Whole};
+
+/// How long a charge may be given back: a hit is known by then to have filled nothing. Until then its token comes to
+/// nobody else.
+const BACK_WITHIN: Span = Span::millis(250);
+
+/// Slices of demand that are kept, and how long each is.
+const SLICES: usize = 8;
+const SLICE: Span = Span::millis(250);
+
+/// What is asked beyond what was wanted lately, so that a rise is served before it was asked for.
+const HEADROOM: f64 = 1.2;
+
+/// How much of a second's flow is asked as burst.
+const BURST: f64 = 0.3;
+
+/// What was wanted lately, spent or not.
+#[derive(Clone, Debug, Default)]
+struct Demand {
+    /// Units wanted, and the most in hand that was, by slice.
+    slices: VecDeque<(f64, u64)>,
+    began: Moment,
+    asked: Share,
+}
+
+impl Demand {
+    fn roll(&mut self, now: Moment) {
+        if self.slices.is_empty() || now.since(self.began) >= SLICE * (2 * SLICES) as f64 {
+            self.slices.clear();
+            self.slices.push_back((0.0, 0));
+            self.began = now;
+        }
+        while now.since(self.began) >= SLICE {
+            self.began = self.began + SLICE;
+            if self.slices.len() == SLICES {
+                self.slices.pop_front();
+            }
+            self.slices.push_back((0.0, 0));
+        }
+    }
+
+    fn add(&mut self, now: Moment, units: f64, in_hand: u64) {
+        self.roll(now);
+        let last = self.slices.back_mut().expect("there is one");
+        last.0 += units;
+        last.1 = last.1.max(in_hand);
+    }
+
+    /// Units a second: of the last whole slices, the more of the newer and the older half, so that it rises quickly
+    /// and falls slowly.
+    fn rate(&self) -> f64 {
+        let whole = self.slices.len().saturating_sub(1);
+        let mean = |from: usize, to: usize| {
+            let sum: f64 = self.slices.iter().take(to).skip(from).map(|slice| slice.0).sum();
+            sum / (SLICE.as_secs() * (to - from).max(1) as f64)
+        };
+        match whole {
+            0 => self.slices.front().map_or(0.0, |slice| slice.0 / SLICE.as_secs()),
+            _ => {
+                let half = (whole / 2).max(1);
+                mean(whole - half, whole).max(mean(0, whole - half))
+            }
+        }
+    }
+
+    fn most_in_hand(&self) -> u64 {
+        self.slices.iter().map(|slice| slice.1).max().unwrap_or_default()
+    }
+}
+
+/// One router's side of one line.
+#[derive(Clone, Debug)]
+pub struct Purse {
+    whole: Whole,
+    grant: Share,
+    until: Option<Moment>,
+    /// Units of a rate that are there at `at`.
+    tokens: f64,
+    at: Moment,
+    /// When each charge was made that may still be given back.
+    charged: VecDeque<Moment>,
+    /// Units of a level in hand.
+    in_hand: u64,
+    /// Higher grants of the last while, for what counts on after it was lowered.
+    before: VecDeque<(Moment, u64)>,
+    demand: Demand,
+    /// When anything was last wanted of it.
+    used: Moment,
+    /// An experiment may take out that a new burst comes empty.
+    pub(crate) comes_full: bool,
+}
+
+impl Purse {
+    /// Begins with nothing at hand, not even the floor's burst: a process before it may just have spent that.
+    pub fn new(whole: Whole, now: Moment) -> Self {
+        Self {
+            whole,
+            grant: Share::NONE,
+            until: None,
+            tokens: 0.0,
+            at: now,
+            charged: VecDeque::new(),
+            in_hand: 0,
+            before: VecDeque::new(),
+            demand: Demand::default(),
+            used: now,
+            comes_full: false,
+        }
+    }
+
+    pub fn whole(&self) -> &Whole {
+        &self.whole
+    }
+
+    /// The whole has changed: what is at hand is cut to it.
+    pub fn change(&mut self, now: Moment, whole: Whole) {
+        if self.whole != whole {
+            self.settle(now);
+            self.whole = whole;
+            self.grant = self.grant.least(whole.divided());
+            self.cut();
+        }
+    }
+
+    /// The own clock has jumped: nothing that was reckoned by it is at hand any more, and what counted on does so anew.
+    pub fn jumped(&mut self, now: Moment) {
+        let most =
+            self.before.iter().map(|(_, stock)| *stock).max().unwrap_or_default().max(self.grant.stock);
+        self.before.clear();
+        self.before.push_back((now, most));
+        self.charged.clear();
+        (self.grant, self.until, self.tokens, self.at) = (Share::NONE, None, 0.0, now);
+        (self.demand, self.used) = (Demand::default(), now);
+    }
+
+    /// Takes a share in place of the one before.
+    pub fn grant(&mut self, now: Moment, share: Share, until: Moment) {
+        self.settle(now);
+        if share.stock < self.grant.stock && self.until.is_some() {
+            self.before.push_back((now, self.grant.stock));
+        }
+        let more = share.stock.saturating_sub(self.grant.stock);
+        (self.grant, self.until) = (share, Some(until));
+        if self.comes_full {
+            self.tokens += more as f64 / UNIT as f64;
+        }
+        self.cut();
+    }
+
+    /// When the grant lapses, if there is one.
+    pub fn until(&self) -> Option<Moment> {
+        self.until
+    }
+
+    /// The share that may be spent now, the floor in it.
+    pub fn share(&self, now: Moment) -> Share {
+        let grant = if self.until.is_some_and(|until| now < until) { self.grant } else { Share::NONE };
+        self.whole.floor.plus(grant)
+    }
+
+    /// Lets time pass: tokens come, charges become sure, a grant lapses.
+    fn settle(&mut self, now: Moment) {
+        while self.charged.front().is_some_and(|at| now.since(*at) > BACK_WITHIN) {
+            self.charged.pop_front();
+        }
+        while self.before.front().is_some_and(|(at, _)| now.since(*at) > self.whole.lag) {
+            self.before.pop_front();
+        }
+        if let Some(until) = self.until.filter(|until| now >= *until) {
+            self.flow(until);
+            if self.grant.stock > 0 {
+                self.before.push_back((until, self.grant.stock));
+            }
+            (self.grant, self.until) = (Share::NONE, None);
+            self.cut();
+        }
+        self.flow(now);
+    }
+
+    fn flow(&mut self, to: Moment) {
+        let share = self.whole.floor.plus(self.grant);
+        self.tokens += share.flow as f64 / UNIT as f64 * to.since(self.at).as_secs();
+        self.at = self.at.max(to);
+        self.cut();
+    }
+
+    /// What is at hand and what may come back are together no more than the burst.
+    fn cut(&mut self) {
+        let burst = self.whole.floor.plus(self.grant).stock as f64 / UNIT as f64;
+        self.tokens = self.tokens.min((burst - self.charged.len() as f64).max(0.0));
+    }
+
+    /// Whether one unit could be spent now.
+    pub fn affords(&mut self, now: Moment) -> bool {
+        self.settle(now);
+        match self.whole.kind {
+            Kind::Rate => self.tokens >= 1.0,
+            Kind::Level => (self.in_hand + 1) * UNIT <= self.share(now).stock,
+            Kind::Part => true,
+        }
+    }
+
+    /// Spends one unit, if it may.
+    pub fn spend(&mut self, now: Moment) -> bool {
+        let affords = self.affords(now);
+        self.used = now;
+        match self.whole.kind {
+            Kind::Rate if affords => {
+                self.tokens -= 1.0;
+                self.charged.push_back(now);
+            }
+            Kind::Level if affords => self.in_hand += 1,
+            _ => {}
+        }
+        self.demand.add(now, 1.0, self.in_hand + u64::from(!affords));
+        affords
+    }
+
+    /// A unit of a level is over.
+    pub fn ended(&mut self) {
+        self.in_hand = self.in_hand.saturating_sub(1);
+    }
+
+    /// What was charged then was not used.
+    pub fn back(&mut self, now: Moment, charged: Moment) {
+        self.settle(now);
+        // Found from the newest on: it was charged a moment ago.
+        if let Some(at) = self.charged.iter().rposition(|at| *at == charged) {
+            self.charged.remove(at);
+            self.tokens += 1.0;
+            self.cut();
+        }
+    }
+
+    /// One unit was wanted, and not to be had.
+    pub fn refused(&mut self, now: Moment) {
+        self.used = now;
+        self.demand.add(now, 1.0, self.in_hand + 1);
+    }
+
+    /// The part of the whole that is this router's: a router alone has all of it.
+    pub fn part(&mut self, now: Moment) -> f64 {
+        self.settle(now);
+        self.share(now).stock as f64 / self.whole.share.stock.max(1) as f64
+    }
+
+    /// What it may still spend beyond its floor if it is told nothing more.
+    pub fn holds(&mut self, now: Moment) -> Share {
+        self.settle(now);
+        let stock = match self.whole.kind {
+            Kind::Rate => self.grant.stock,
+            // What is in hand stays so, whatever was lowered meanwhile.
+            Kind::Level => self.grant.stock.max((self.in_hand * UNIT).saturating_sub(self.whole.floor.stock)),
+            Kind::Part => {
+                self.before.iter().map(|(_, stock)| *stock).max().unwrap_or_default().max(self.grant.stock)
+            }
+        };
+        Share { flow: self.grant.flow, stock }
+    }
+
+    /// What it asks beyond its floor, from what was wanted lately; and by how much it counts where all want all.
+    /// It moves only where what is wanted has moved by a tenth.
+    pub fn wants(&mut self, now: Moment) -> (Share, u64) {
+        if self.demand.slices.is_empty() {
+            return (Share::NONE, 0);
+        }
+        self.demand.roll(now);
+        let rate = self.demand.rate();
+        if rate == 0.0 && self.demand.most_in_hand() == 0 {
+            self.demand.asked = Share::NONE;
+            return (Share::NONE, 0);
+        }
+        let units = |units: f64| (units * UNIT as f64) as u64;
+        let wants = match self.whole.kind {
+            Kind::Rate => {
+                let flow = rate * HEADROOM + 0.5;
+                Share { flow: units(flow), stock: units((flow * BURST).ceil() + 1.0) }
+            }
+            Kind::Level => {
+                let most = self.demand.most_in_hand() as f64 * HEADROOM + 1.0;
+                Share { flow: 0, stock: units(most.ceil()) }
+            }
+            Kind::Part => self.whole.share,
+        };
+        let near = |new: u64, old: u64| new.abs_diff(old) <= old / 10;
+        if !near(wants.flow, self.demand.asked.flow) || !near(wants.stock, self.demand.asked.stock) {
+            self.demand.asked = wants;
+        }
+        let mut asked = self.demand.asked.less(self.whole.floor);
+        asked.stock = asked.stock.next_multiple_of(self.whole.grain());
+        let asked = asked.least(self.whole.divided());
+        (asked, if self.whole.kind == Kind::Part { units(rate).max(1) } else { 0 })
+    }
+
+    /// Whether nothing of it is in use and nothing was wanted for so long.
+    pub fn rests(&mut self, now: Moment, so_long: Span) -> bool {
+        self.settle(now);
+        let idle = self.in_hand == 0 && self.charged.is_empty() && self.until.is_none();
+        idle && self.before.is_empty() && now.since(self.used) > so_long
+    }
+}
