--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -8,7 +8,7 @@
 
 use futures_lite::future;
 use tindoor::control::Control;
-use tindoor::host::{CacheNo, Host, Note, Terms, Verdict, ViewNo};
+use tindoor::host::{CacheNo, Draw, Host, Note, Terms, Verdict, ViewNo};
 use tindoor::time::{Moment, Span};
 
 /// What a view's task is told to do.
@@ -134,6 +134,8 @@
     sent: u16,
     /// The caches and sources of its dispatches: their numbers stay theirs for as long.
     names: Vec<CacheNo>,
+    /// What each dispatch drew on that routers share, where they do.
+    drawn: Vec<Option<Drawn>>,
 }
 
 /// Views by their numbers, and when the module is to be woken.
@@ -144,6 +146,7 @@
     /// By cache, how often it is named by views in hand.
     named: Vec<u32>,
     alarm: Rc<Alarm>,
+    gate: Option<Rc<dyn Gate>>,
 }
 
 /// The earliest time at which a task is to be woken; it may be set earlier while the task sleeps.
@@ -249,14 +252,54 @@
 
     /// The change log is followed from the start, whether it is asked for or not.
     fn subscribe(&mut self) {}
+
+    fn affords_fill(&self, offering: u16) -> bool {
+        self.gate.as_ref().is_none_or(|gate| gate.affords_fill(offering))
+    }
+
+    fn draw(&mut self, view: ViewNo, draw: Draw) -> bool {
+        let Some(gate) = &self.gate else { return true };
+        let Some(drawn) = gate.draw(&draw) else { return false };
+        if let Some(Some(open)) = self.slots.get_mut(view.0 as usize) {
+            open.drawn.resize(usize::from(open.sent), None);
+            open.drawn.push(drawn);
+        }
+        true
+    }
+
+    fn part(&self, stable: u64, parent: bool) -> Option<f64> {
+        self.gate.as_ref()?.part(stable, parent)
+    }
 }
 
-/// Whether views may be taken, and by what they are decided, where routers of a fleet agree on that.
+/// Whether views may be taken, by what they are decided and what they may draw on, where routers of a fleet agree on
+/// that.
 pub trait Gate {
-    /// Asked in the moment in which a view is taken; else when its client may come again.
-    fn admits(&self) -> Result<Admitted, Span>;
+    /// Asked in the moment in which a view of that account is taken; else when its client may come again.
+    fn admits(&self, account: u64) -> Result<Admitted, Span>;
     /// A view ended that was taken under that generation.
     fn ended(&self, generation: u64, offering: u16, done: bool, took: Duration);
+    /// Whether a fill by the origin is to be had of what all share.
+    fn affords_fill(&self, _offering: u16) -> bool {
+        true
+    }
+    /// Draws on what all share for one dispatch; none where it is not to be had. Inside, what can be given back.
+    fn draw(&self, _draw: &Draw) -> Option<Option<Drawn>> {
+        Some(None)
+    }
+    /// A dispatch ended that drew on it, and how.
+    fn settle(&self, _drawn: Drawn, _end: (Verdict, Note)) {}
+    /// This router's part of what a cold cache, or parent, bears.
+    fn part(&self, _stable: u64, _parent: bool) -> Option<f64> {
+        None
+    }
+}
+
+/// What one dispatch drew on, as whoever keeps the account knows it again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Drawn {
+    pub at: Moment,
+    pub offering: u16,
 }
 
 /// A view may be taken.
@@ -301,6 +344,7 @@
 
     /// Has this one be asked before each view.
     pub fn set_gate(&self, gate: Rc<dyn Gate>) {
+        self.control.borrow_mut().host().gate = Some(Rc::clone(&gate));
         *self.gate.borrow_mut() = Some(gate);
     }
 
@@ -311,7 +355,7 @@
             self.tell(|control| control.view(no, asked, left));
             return None;
         };
-        match gate.admits() {
+        match gate.admits(u64::from(asked.group)) {
             Ok(Admitted { generation, facts }) => {
                 self.tell(|control| {
                     if let Some(Err(what)) = facts.map(|facts| control.adopt(facts)) {
@@ -347,9 +391,22 @@
             last,
             "ended"
         );
+        self.settle(no, dispatch.nth, end);
         self.tell(|control| control.answered(no, dispatch.nth, end, took, last));
     }
 
+    /// What a dispatch drew on that routers share is settled before anything else is decided.
+    fn settle(&self, no: ViewNo, nth: u16, end: (Verdict, Note)) {
+        let gate = self.gate.borrow();
+        let Some(gate) = gate.as_ref() else { return };
+        let mut control = self.control.borrow_mut();
+        let open = control.host().slots.get_mut(no.0 as usize).and_then(Option::as_mut);
+        let drawn = open.and_then(|open| open.drawn.get_mut(usize::from(nth))?.take());
+        if let Some(drawn) = drawn {
+            gate.settle(drawn, end);
+        }
+    }
+
     /// How many views are in hand.
     pub fn open_views(&self) -> usize {
         self.open.get()
@@ -361,7 +418,7 @@
         let slot = Rc::new(Slot::default());
         let mut control = self.control.borrow_mut();
         let desk = control.host();
-        let fresh = Some(Open { slot: Rc::clone(&slot), sent: 0, names: Vec::new() });
+        let fresh = Some(Open { slot: Rc::clone(&slot), sent: 0, names: Vec::new(), drawn: Vec::new() });
         let no = match desk.free.pop() {
             Some(no) => {
                 desk.slots[no as usize] = fresh;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -313,7 +313,12 @@
             world.gather(no);
         }
         let first = world.now + 2_000_000;
-        world.at(first, Event::Propose);
+        // A day of budgets without changes of them shows what calm is like.
+        if world.day.budget.is_none()
+            || ["lower", "proposers", "badchange"].iter().any(|it| world.day.has(it))
+        {
+            world.at(first, Event::Propose);
+        }
         if !world.day.faults.is_empty() {
             world.at(first + 200_000, Event::Fault);
         }
--- a/crates/policy/src/budgets.rs
+++ b/crates/policy/src/budgets.rs
@@ -34,6 +34,25 @@
     }
 }
 
+impl Budget {
+    /// The name of a line's budget, as the policy's keys have it.
+    pub fn name(line: Line) -> &'static str {
+        const NAMES: [&str; 10] = [
+            "origin_fills",
+            "location_fills",
+            "offering_fills",
+            "origin_fills.in_hand",
+            "further",
+            "looks",
+            "connections",
+            "accounts",
+            "cold_parts of caches",
+            "cold_parts of parents",
+        ];
+        NAMES.get(usize::from(line.budget).wrapping_sub(1)).copied().unwrap_or("unknown")
+    }
+}
+
 /// What stands for an offering in a line (FNV-1a of its name), the same at every router.
 pub fn number(name: &str) -> u64 {
     let mix = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -67,8 +67,12 @@
     strange: Seldom,
     /// Counts purges: what was ordered before one may ask for too old a copy.
     purges: Cell<u64>,
+    /// Where routers share out new connections: whether one more may be made to the cache of that id.
+    may_connect: RefCell<Option<MayConnect>>,
 }
 
+type MayConnect = Box<dyn Fn(&str) -> bool>;
+
 #[derive(Default)]
 struct Known {
     caches: Vec<Cache>,
@@ -136,9 +140,15 @@
             short: Seldom::default(),
             strange: Seldom::default(),
             purges: Cell::new(0),
+            may_connect: RefCell::default(),
         }
     }
 
+    /// Has new connections be asked for first, by the cache's id.
+    pub fn ask_before_connects(&self, may: impl Fn(&str) -> bool + 'static) {
+        *self.may_connect.borrow_mut() = Some(Box::new(may));
+    }
+
     /// A line of the list: gives the cache's number, the same until it is gone and forgotten; none for one
     /// that was not there and is gone. A long day brings ever new ids: the number of one that has been gone
     /// for a while, and that no view names any more, is the next one's.
@@ -251,6 +261,10 @@
             }
             return Err(Verdict::Moot);
         }
+        let refused = |may: &MayConnect| !may(&self.known.borrow().caches[no.0 as usize].id);
+        if self.may_connect.borrow().as_ref().is_some_and(refused) {
+            return Err(Verdict::Moot);
+        }
         // Taken before the connect, so that those under way stay within the limit, too.
         let place = Place::take(&self.open);
         match within(self.limits.connect, Async::<TcpStream>::connect(address)).await {
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -33,6 +33,12 @@
     "incarnation",
     "synced",
     "pinned",
+    "lapse",
+    "epoch",
+    "returned",
+    "burst",
+    "wakes",
+    "floor",
 ];
 
 #[derive(Subcommand)]
@@ -67,6 +73,11 @@
         #[command(flatten)]
         at: At,
     },
+    /// What this router may spend of the fleet's budgets now, and the fleet.
+    Shares {
+        #[command(flatten)]
+        at: At,
+    },
     /// The policy in force.
     Show {
         #[command(flatten)]
--- a/crates/router/src/council.rs
+++ b/crates/router/src/council.rs
@@ -15,7 +15,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tindoor_council::Command;
+use tindoor_policy::budgets::Budget;
 use tindoor_policy::{End, Past, Policy, Proposal, keys};
+use tindoor_shares::{Line, Share, UNIT};
 
 use crate::command::{Fleet as Deed, Proposing};
 use crate::fleet::Fleet;
@@ -28,6 +30,7 @@
     Status,
     Policy,
     History,
+    Shares,
     Found,
     /// Numbers in place of those in force; without `from`, made from what is in force.
     Propose {
@@ -120,6 +123,11 @@
             let past: Vec<Past> = fleet.tell(|node, _| node.agreed().past.iter().cloned().collect());
             Ok(json!(past))
         }
+        Ask::Shares => {
+            let units = |share: Share| json!({"per_s": share.flow as f64 / UNIT as f64, "stock": share.stock as f64 / UNIT as f64});
+            let line = |(line, own, whole): (Line, Share, Share)| json!({"budget": Budget::name(line), "of": format!("{:x}", line.of), "own": units(own), "whole": units(whole)});
+            Ok(Value::Array(fleet.lines().into_iter().map(line).collect()))
+        }
         Ask::Found => {
             let policy = fleet.first_policy();
             keys::check(&policy, fleet.offerings())?;
@@ -185,6 +193,7 @@
             }
         }
         Deed::Status { at } => show(&ask(&at.socket, &Ask::Status)?),
+        Deed::Shares { at } => show(&ask(&at.socket, &Ask::Shares)?),
         Deed::History { at } => show(&ask(&at.socket, &Ask::History)?),
         Deed::Found { at } => show(&ask(&at.socket, &Ask::Found)?),
         Deed::Forget { at, name } => drop(ask(&at.socket, &Ask::Forget { name })?),
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -13,12 +13,14 @@
 use async_io::{Async, Timer};
 use rustix::time::{ClockId, clock_gettime};
 use serde::Deserialize;
-use tindoor::host::Facts;
+use tindoor::host::{Draw, Fact, Facts, Note, Verdict};
 use tindoor::time::{Moment, Span};
 use tindoor_council::{Guards, Limits as Much, Node, Out, Own, Status, Write};
-use tindoor_desk::{Admitted, Gate};
+use tindoor_desk::{Admitted, Drawn, Gate};
 use tindoor_fleet::{Start, Terms};
+use tindoor_policy::budgets::{self, Budget};
 use tindoor_policy::{Count, Policy, Step, Version, keys};
+use tindoor_shares::{Allowance, Line, Share};
 
 use crate::folder::Folder;
 use crate::limits::PeerLimits;
@@ -61,6 +63,9 @@
     /// How long a change is on probation.
     #[serde(default = "of::<30_000>")]
     pub probation_ms: u64,
+    /// By how much this router counts where budgets are divided.
+    #[serde(default = "of::<1>")]
+    pub weight: u64,
 }
 
 fn three() -> usize {
@@ -85,6 +90,7 @@
             "fleet.hold_out_ms: over a day"
         );
         ensure!(self.probation_ms <= 3_600_000, "fleet.probation_ms: over an hour");
+        ensure!((1..=1000).contains(&self.weight), "fleet.weight: {} is not from 1 to 1000", self.weight);
         ensure!((1..=7).contains(&self.voters), "fleet.voters: {} is not from 1 to 7", self.voters);
         ensure!(
             !self.name.is_empty() && !self.name.contains(char::is_whitespace),
@@ -171,6 +177,13 @@
     in_hand: Box<dyn Fn() -> usize>,
     pub most_in_hand: Cell<usize>,
     pinned: bool,
+    /// What names this router's location and its offerings in the lines of budgets.
+    location: u64,
+    numbers: Vec<u64>,
+    /// Whether caches tell fills by the origin from others.
+    tells_fills: bool,
+    /// How many further dispatches the views allow that were done at their first.
+    further: Cell<Option<Allowance>>,
 }
 
 /// What a fleet is started with beside what it is told.
@@ -217,7 +230,7 @@
         };
         tracing::info!(front = "fleet", at = %bound, start = %own.start, seat = own.seat, "listening");
         let clock = Clock::new();
-        let mut limits = Much { voters: told.voters, ..Much::default() };
+        let mut limits = Much { voters: told.voters, weight: told.weight, ..Much::default() };
         limits.probation.lasts = Span::millis(told.probation_ms);
         let seeds = told.seeds.iter().map(SocketAddr::to_string).collect();
         let seed = getrandom::u64().context("a seed")?;
@@ -232,6 +245,10 @@
             clock,
             peers: Rc::clone(&peers),
             writes,
+            location: u64::from(place.location),
+            numbers: place.offerings.iter().map(|name| budgets::number(name)).collect(),
+            tells_fills: place.facts.get("notes").is_some_and(|notes| notes.word() == "all"),
+            further: Cell::new(None),
             facts: place.facts,
             offerings: place.offerings,
             adopted: Cell::new(0),
@@ -299,6 +316,10 @@
         if let Err(why) = keys::check_change(&own, &version.policy, &self.offerings) {
             return Some(why);
         }
+        let possible = self.node.borrow().possible();
+        if let Some(most) = budgets::routers_most(&version.policy).filter(|most| (possible as u64) > *most) {
+            return Some(format!("budget.routers_most: {most} is below the {possible} that may belong"));
+        }
         let most = version.policy.0.get("limit.open_views").copied();
         let in_hand = (self.in_hand)();
         let below = most.filter(|most| (in_hand as f64) > *most);
@@ -348,7 +369,7 @@
     fn adopt(&self, version: &Version) -> Option<Facts> {
         let mut facts = keys::onto_facts(&version.policy, &self.facts, &self.offerings).ok()?;
         if !self.pinned {
-            facts.insert("pinned".into(), tindoor::host::Fact::Number(0.0));
+            facts.insert("pinned".into(), Fact::Number(0.0));
         }
         let goal = |name: &String| {
             let ms = version.policy.0.get(&format!("offering.{name}.latency_goal_ms"));
@@ -363,13 +384,57 @@
         if let Some(most) = version.policy.0.get("limit.open_views") {
             self.most_in_hand.set(*most as usize);
         }
+        self.further.set(budgets::per_success(&version.policy).map(Allowance::new));
         self.adopted.set(version.generation);
         Some(facts)
     }
+
+    /// Looks at what this router may spend, at the time that it is now.
+    fn shares<T>(&self, what: impl FnOnce(&mut tindoor_shares::Party, Moment) -> T) -> T {
+        let _whole = Whole;
+        let mut node = self.node.borrow_mut();
+        let (now, jumped) = self.clock.now();
+        if jumped {
+            node.jumped(now);
+        }
+        what(node.shares(), now)
+    }
+
+    /// All lines that a fill by the origin draws on.
+    fn fills(&self, offering: u16) -> [Line; 4] {
+        let number = self.numbers.get(usize::from(offering)).copied().unwrap_or_default();
+        [
+            Budget::OriginFills.of(0),
+            Budget::LocationFills.of(self.location),
+            Budget::OfferingFills.of(number),
+            Budget::FillsInHand.of(0),
+        ]
+    }
+
+    /// Whether a new connection to that cache may be made.
+    pub fn may_connect(&self, id: &str) -> bool {
+        self.shares(|party, now| party.spend(now, &[Budget::Connections.of(budgets::number(id))]))
+    }
+
+    /// Each line that is known here: what this router may spend of it, and the fleet.
+    pub fn lines(&self) -> Vec<(Line, Share, Share)> {
+        self.shares(|party, now| party.shares(now))
+    }
+}
+
+/// Whether the origin was asked for what a dispatch brought, as far as its end tells.
+fn by_origin((verdict, note): (Verdict, Note), told: bool) -> bool {
+    match (verdict, note) {
+        (Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss, Note::OriginFailed) => true,
+        (Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss, _) => false,
+        (Verdict::Done, Note::Hit | Note::OldCopy | Note::Joined) => false,
+        (Verdict::Done, Note::Filled) => !told,
+        _ => true,
+    }
 }
 
 impl Gate for Fleet {
-    fn admits(&self) -> std::result::Result<Admitted, Span> {
+    fn admits(&self, account: u64) -> std::result::Result<Admitted, Span> {
         let _whole = Whole;
         let mut node = self.node.borrow_mut();
         let (now, jumped) = self.clock.now();
@@ -380,19 +445,79 @@
             Ok(version) => {
                 let generation = version.generation;
                 let facts = if generation == self.adopted.get() { None } else { self.adopt(version) };
-                Ok(Admitted { generation, facts })
+                // One account's flood is turned back before it costs others anything.
+                match node.shares().spend(now, &[Budget::Accounts.of(account)]) {
+                    true => Ok(Admitted { generation, facts }),
+                    false => Err(self.pause),
+                }
             }
             Err(_) => Err(self.pause),
         }
     }
 
     fn ended(&self, generation: u64, offering: u16, done: bool, took: Duration) {
+        if done {
+            self.further.set(self.further.get().map(Allowance::filled));
+        }
         let goals = self.goals.borrow();
         let goal = goals.iter().find(|(of, _)| *of == generation);
         let Some(goal) = goal.and_then(|(_, goals)| goals.get(offering as usize)) else { return };
         let count = Count { views: 1, good: u64::from(done && took <= *goal) };
         self.node.borrow_mut().count(generation, offering, count);
     }
+
+    fn affords_fill(&self, offering: u16) -> bool {
+        self.shares(|party, now| party.affords(now, &self.fills(offering)))
+    }
+
+    fn draw(&self, draw: &Draw) -> Option<Option<Drawn>> {
+        let further = self.further.get();
+        if draw.further && further.is_some_and(|further| !further.affords()) {
+            return None;
+        }
+        let mut lines = [Line::default(); 6];
+        let mut count = 0;
+        let mut add = |line: Line| {
+            lines[count] = line;
+            count += 1;
+        };
+        if draw.fills {
+            self.fills(draw.offering).into_iter().for_each(&mut add);
+        }
+        if draw.look {
+            add(Budget::Looks.of(draw.cache));
+        }
+        if draw.further {
+            add(Budget::Further.of(0));
+        }
+        let fills = self.fills(draw.offering);
+        let at = self.shares(|party, now| {
+            // One that is sent without a fill, as none is to be had, would have wanted it.
+            if !draw.fills && !draw.further && !party.affords(now, &fills) {
+                party.refused(now, &fills);
+            }
+            party.spend(now, &lines[..count]).then_some(now)
+        })?;
+        if draw.further {
+            self.further.set(further.map(Allowance::spent));
+        }
+        Some(draw.fills.then_some(Drawn { at, offering: draw.offering }))
+    }
+
+    fn settle(&self, drawn: Drawn, end: (Verdict, Note)) {
+        let lines = self.fills(drawn.offering);
+        self.shares(|party, now| {
+            if !by_origin(end, self.tells_fills) {
+                party.back(now, drawn.at, &lines);
+            }
+            party.ended(&lines[3..]);
+        });
+    }
+
+    fn part(&self, stable: u64, parent: bool) -> Option<f64> {
+        let budget = if parent { Budget::ColdParents } else { Budget::ColdCaches };
+        self.shares(|party, now| party.part(now, budget.of(stable)))
+    }
 }
 
 /// Stands while the node is at work. A task that panics is dropped and the others go on; but what is half done here
@@ -443,6 +568,12 @@
             "incarnation" => by_name = true,
             "synced" => unsynced = true,
             "pinned" => pinned = false,
+            "lapse" => guards.shares.lapse = false,
+            "epoch" => guards.shares.epoch = false,
+            "returned" => guards.shares.returned = false,
+            "burst" => guards.shares.burst = false,
+            "wakes" => guards.shares.wakes = false,
+            "floor" => guards.shares.floor = false,
             _ => {}
         }
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -20,6 +20,7 @@
 mod places;
 mod processor;
 mod router;
+mod signals;
 mod subrequests;
 mod view;
 mod wanted;
@@ -151,8 +152,8 @@
     fronts: Fronts,
 ) -> Result<()> {
     // Heeded from the first moment on: unheeded, each of them ends the process.
-    let hangups = Signals::new([Signal::Hup]).context("signals")?;
-    let mut ends = Signals::new([Signal::Term, Signal::Int]).context("signals")?;
+    let hangups = signals::heed(&[Signal::Hup]).context("signals")?;
+    let mut ends = signals::heed(&[Signal::Term, Signal::Int]).context("signals")?;
     let path = files.configuration().unwrap_or_default();
     let asked = asked(&deployment);
     let Deployment { name, listen, seed, mut limits, .. } = deployment;
@@ -228,6 +229,9 @@
         told: RefCell::new(Place { seq: deployment.known_seq, ..Place::default() }),
         stopping: Cell::new(None),
     });
+    if let Some(fleet) = router.fleet.clone() {
+        router.caches.ask_before_connects(move |id| fleet.may_connect(id));
+    }
     deployment.known.into_iter().for_each(|event| feed::heed(&router, event));
     let listener = Async::<TcpListener>::bind(listen).with_context(|| format!("listen: {listen}"))?;
     let bound = listener.get_ref().local_addr().context("listen")?;
--- a/crates/shares/src/book.rs
+++ b/crates/shares/src/book.rs
@@ -129,7 +129,7 @@
         // It may hold less than was lent last; more only where another lent it, which counts there.
         let holds = if guards.returned { holds.least(out) } else { Share::NONE };
         let back = out.less(holds);
-        if back != Share::NONE && confirmed.is_some() {
+        if back != Share::NONE && confirmed.is_some() && guards.returned {
             self.cooling.push((now, back));
             self.warm(confirmed);
         }
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -12,7 +12,7 @@
 pub use book::{Book, Claim, Given, Guarding};
 pub use divide::{Wish, divide};
 pub use party::{Ask, Guards, Lend, Lent, Party, Plan, Want};
-pub use purse::Purse;
+pub use purse::{Allowance, Purse};
 
 use serde::{Deserialize, Serialize};
 use tindoor::time::Span;
--- a/crates/shares/src/purse.rs
+++ b/crates/shares/src/purse.rs
@@ -306,3 +306,32 @@
         idle && self.before.is_empty() && now.since(self.used) > so_long
     }
 }
+
+/// How many of something one router's own successes allow: each adds a little, each use takes one. So a trouble that
+/// leaves nothing done is not made worse by what is tried again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    each: f64,
+    has: f64,
+}
+
+/// What is kept at most, and there at the start.
+const KEPT: f64 = 10.0;
+
+impl Allowance {
+    pub fn new(each: f64) -> Self {
+        Self { each, has: KEPT }
+    }
+
+    pub fn affords(&self) -> bool {
+        self.has >= 1.0
+    }
+
+    pub fn spent(self) -> Self {
+        Self { has: (self.has - 1.0).max(0.0), ..self }
+    }
+
+    pub fn filled(self) -> Self {
+        Self { has: (self.has + self.each).min(KEPT), ..self }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::host::{
-    Asked, CacheNo, Fact, Facts, Host, ListForm, Listed, Note, Pass, Standing, Terms, Verdict, ViewNo,
+    Asked, CacheNo, Draw, Fact, Facts, Host, ListForm, Listed, Note, Pass, Standing, Terms, Verdict, ViewNo,
 };
 use crate::time::{Moment, Span};
 
@@ -371,8 +371,7 @@
                 _ => Tier::Elsewhere,
             };
             let known = self.members.get(line.cache.0 as usize);
-            let out = known.map_or(0, |member| member.out);
-            let fresh = Member::new(*line, tier, out, self.now);
+            let fresh = Member::new(*line, tier, known.map_or(0, |member| member.out), self.now);
             let Listed { cache, stable, started, standing, .. } = *line;
             match known.map(|known| (known.listed.started, known.listed.stable, known.tier)) {
                 None => self.members.push(fresh),
@@ -384,9 +383,7 @@
             }
         }
         self.tiers.iter_mut().for_each(Vec::clear);
-        for member in &self.members {
-            self.tiers[member.tier as usize].push(member.listed.cache);
-        }
+        self.members.iter().for_each(|member| self.tiers[member.tier as usize].push(member.listed.cache));
     }
 
     /// An object, or else a whole group, was purged so long ago.
@@ -494,8 +491,10 @@
 
     /// The fills in hand over those that still come in time: from what a source holds (0), by the origin (1).
     fn fill_crowd(&self, view: &Held, far: usize) -> f64 {
+        // None is to be had of the fleet's budget: as where the origin is full.
+        let least = f64::from(far == 1 && !self.host.affords_fill(view.asked.offering));
         let strain = self.strain(&self.fill_loads[far], 40, 0.3);
-        self.crowd(strain, view, self.fills_in_hand(far), [[0.45, 6.0], [0.6, 4.0]][far])
+        self.crowd(strain, view, self.fills_in_hand(far), [[0.45, 6.0], [0.6, 4.0]][far]).max(least)
     }
 
     /// Fills in hand by estimate: of what fills as it comes, the part of the time that went to fills.
@@ -557,8 +556,9 @@
         let since = self.now - self.span("warm_within", Span::secs(15.0)) * 2.0;
         let size = f64::from(member.listed.size);
         let part = size / self.size(member.tier, since);
+        let own = self.host.part(member.listed.stable, member.tier == Tier::Parent);
         let bears = match self.fact("size_told", 0.0) > 0.0 {
-            true => size / self.fact(routers, 1.0).max(1.0),
+            true => own.map_or_else(|| size / self.fact(routers, 1.0).max(1.0), |own| size * own),
             false => done.max(least) * part,
         };
         let window = self.span("cold_window", Span::secs(1.0));
@@ -683,9 +683,10 @@
         let told = self.policy.facts.get("notes").is_some_and(|notes| notes.word() == "all");
         let half = self.fill_loads[0].quantile(0.5, |load| load.took.as_secs() / load.goal);
         let just_origin = !told && half.is_some_and(|half| half < 0.45);
+        let shared = self.host.affords_fill(asked.offering);
         let filling = match (cache, missed) {
             _ if plain || through => Filling::AsItComes,
-            _ if cache == source && near < 1.0 => Filling::AsItComes,
+            _ if cache == source && near < 1.0 && shared => Filling::AsItComes,
             (_, Some(_)) if near >= 1.0 => return self.give_up(no),
             (_, Some(Filling::IfHeld)) if far >= 1.0 => return self.give_up(no),
             (_, None) if near > 0.8 && just_origin => Filling::IfHeld,
@@ -743,21 +744,24 @@
         let fresh = self.span_of(offering, "fresh");
         let scarce = [0, 1].into_iter().any(|far| self.fill_crowd(held, far) >= 1.0);
         let older = if retry || scarce { self.span_of(offering, "older_by") } else { Span::ZERO };
-        let limit =
-            Some(fresh + older).filter(|_| fresh > Span::ZERO && (retry || scarce || purged.is_some()));
-        let oldest = limit.into_iter().chain(since_purge).min();
+        let cap = Some(fresh + older).filter(|_| fresh > Span::ZERO && (retry || scarce || purged.is_some()));
+        let oldest = cap.into_iter().chain(since_purge).min();
         let keep = self.of(offering, "runs_at_origin") == 0.0;
         let spare = filling == Filling::AsItComes && source.is_some_and(|s| self.is_warm(s));
         let renew = keep && spare && fresh > Span::ZERO;
         let wait = self.patience(held, left);
         let check = self.hush(cache);
         let sent = (held.serial, held.dispatches.len() as u16);
+        let further = held.dispatches.iter().any(|d| !matches!(d.end, Some((Verdict::Miss, _))));
+        let fills = keep && source.is_some() && matches!(filling, Filling::AsItComes | Filling::Surely);
+        let (look, only_held) = (filling == Filling::Not, filling == Filling::IfHeld);
+        let stable = self.member(cache).listed.stable;
+        if !self.host.draw(no, Draw { cache: stable, offering, look, fills, further }) {
+            return self.give_up(no);
+        }
+        let terms = |source| Terms { source, oldest, join: keep, only_held, renew, rank: u8::from(keep) };
         match source {
-            Some(source) => {
-                let only_held = filling == Filling::IfHeld;
-                let terms = Terms { source, oldest, join: keep, only_held, renew, rank: u8::from(keep) };
-                self.host.read(no, cache, wait, terms)
-            }
+            Some(source) => self.host.read(no, cache, wait, terms(source)),
             None => self.host.look(no, cache, wait),
         }
         let now = self.now;
@@ -772,10 +776,9 @@
         self.filling[filling as usize] += 1.0;
         let fills = [0, 1].map(|far| self.fills_in_hand(far));
         self.sends.add(retry);
-        if let Some(held) = self.held_mut(no) {
-            let (sent, called_off, end) = (now, false, None);
-            held.dispatches.push(Dispatch { cache, source, sent, load, filling, fills, called_off, end });
-        }
+        let (sent, called_off, end) = (now, false, None);
+        let sent = Dispatch { cache, source, sent, load, filling, fills, called_off, end };
+        self.held_mut(no).into_iter().for_each(|held| held.dispatches.push(sent));
         self.alarm(now + check, no);
     }
 
@@ -985,11 +988,10 @@
         let Some(held) = self.held(no) else { return };
         let full = |d: &&Dispatch| matches!(d.end, Some((Verdict::Full, Note::Untold | Note::NoFillPlace)));
         let vain = held.dispatches.iter().filter(full).count() > 1 || held.errors().count() > 3;
-        let nth = held.dispatches.len() as f64;
         // The waiters of a failed join come back spread out; what was only diverted goes at once.
         let pause = match verdict {
             Verdict::Full | Verdict::Unreachable | Verdict::CalledOff => Span::ZERO,
-            _ => Span::millis(20) * (nth * shaken),
+            _ => Span::millis(20) * (held.dispatches.len() as f64 * shaken),
         };
         // When most sends are retries, two caches are full or four fail, more only feed the trouble.
         match now + pause {
@@ -1029,11 +1031,10 @@
 
     /// Nobody waits for this view any more: it has its answer, or its client left.
     pub fn left(&mut self, no: ViewNo) {
-        if let Some(held) = self.held_mut(no) {
-            held.finished = true;
-            if held.open().count() == 0 {
-                self.views[no.0 as usize] = None;
-            }
+        let Some(held) = self.held_mut(no) else { return };
+        held.finished = true;
+        if held.open().count() == 0 {
+            self.views[no.0 as usize] = None;
         }
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -150,6 +150,20 @@
     pub rank: u8,
 }
 
+/// What a dispatch would draw on that all routers of a fleet share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Draw {
+    /// The cache, by its stable number.
+    pub cache: u64,
+    pub offering: u16,
+    /// Answered from a fresh copy or not at all.
+    pub look: bool,
+    /// By it the origin may be asked for a fill.
+    pub fills: bool,
+    /// One before it failed.
+    pub further: bool,
+}
+
 /// The hands of the decisions. Every call takes effect at once, in the order made.
 pub trait Host {
     /// Dispatch a view to a cache that answers from its own fresh copy only.
@@ -166,4 +180,19 @@
     fn wake_in(&mut self, wait: Span);
     /// Ask to be sent the list and its changes.
     fn subscribe(&mut self);
+
+    /// Whether a fill by the origin is to be had now of what all routers share; where nothing is shared, it is.
+    fn affords_fill(&self, _offering: u16) -> bool {
+        true
+    }
+
+    /// Draws on what is shared for the next dispatch of a view: it is sent only where this says so.
+    fn draw(&mut self, _view: ViewNo, _draw: Draw) -> bool {
+        true
+    }
+
+    /// This router's part of what a cold cache, or parent, bears; none where it goes by numbers told at the start.
+    fn part(&self, _stable: u64, _parent: bool) -> Option<f64> {
+        None
+    }
 }
