Lab: several routers as processes divide the fleet's budgets under faults, counted at the caches

Need: budgets must be proven by processes with faults between them. What starts, kills, pauses and cuts off routers is moved out of the policy experiment into crates/lab/src/several.rs; tindoor-lab budgets counts fills by the origin, fills in hand, further dispatches, views of an account and new connections at stand-in caches over every window.

Found by it and mended: a fill known to be real kept its place in the burst for 250 ms.

--- /dev/null
+++ b/crates/lab/src/budgets.rs
@@ -0,0 +1,342 @@
+//! Several routers of one fleet as processes that divide the fleet's budgets, with faults between them. What is counted
+//! is what stand-in caches saw by their own clock, over every window; no word of a router is taken for it.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+
+use crate::figures::Figures;
+use crate::fleet::Fleet;
+pub use crate::several::Plan;
+use crate::several::{Came, LEASE, Line, World, ail, settle, wait_for};
+use crate::stand_in::Reply;
+
+/// What may be asked for by name.
+pub const FAULTS: &[&str] = &[
+    "drop",
+    "delay",
+    "reorder",
+    "duplicate",
+    "oneway",
+    "split",
+    "island",
+    "kill",
+    "killmost",
+    "pause",
+    "restart",
+    "leader",
+    "clock",
+    "join",
+    "lower",
+    "shift",
+];
+
+pub const GUARDS: &[&str] = &["lapse", "epoch", "returned", "burst", "wakes", "floor"];
+
+/// The wholes: fills by the origin a second and their burst, and what a lowered one is.
+const FILLS: f64 = 100.0;
+const LOWERED: f64 = 50.0;
+const BURST: f64 = 40.0;
+const IN_HAND: f64 = 24.0;
+const FURTHER: [f64; 2] = [30.0, 40.0];
+const ACCOUNT: [f64; 2] = [400.0, 60.0];
+const CONNECTIONS: [f64; 2] = [40.0, 60.0];
+
+/// How far apart a spending and its arrival at a cache may lie, on a machine with other things to do.
+const SLACK: f64 = 0.25;
+
+/// How long it is calm at the end, after which use is counted.
+const CALM: Duration = Duration::from_millis(7000);
+
+/// A fill that was wanted: by which router, when, and whether it came.
+type Wanted = (usize, Instant, bool);
+
+#[derive(Default)]
+struct Counts {
+    figures: Figures,
+    wanted: Vec<Wanted>,
+    lost_with_router: u64,
+}
+
+/// When a whole was told to be what it is, and when that was known to hold.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    to: f64,
+    asked: Instant,
+    held: Option<Instant>,
+}
+
+/// Runs the experiment: its figures.
+pub fn run(plan: &Plan) -> Result<Figures> {
+    let mut fleet = Fleet::start(4);
+    fleet.keep_shared();
+    // Fills may be many at once by the module's own reckoning: the budget is what is looked at.
+    let change = |told: &mut Value| {
+        told["settings"]["request_classes"][0]["objective"] = json!(2_000_000);
+        // All caches are in one location, and all routers are to reach them.
+        told["settings"]["zone"] = json!(0);
+    };
+    let (world, ready) = World::begin(plan, FAULTS, GUARDS, fleet, change)?;
+    let first = json!({
+        "budget.routers_most": plan.routers + 4, "budget.floor_part": 0.05,
+        "budget.origin_fills.per_s": FILLS, "budget.origin_fills.burst": BURST.max(2.0 * (plan.routers + 4) as f64),
+        "budget.origin_fills.in_hand": IN_HAND, "budget.further.per_s": FURTHER[0], "budget.further.burst": FURTHER[1],
+        "budget.accounts.per_s": ACCOUNT[0], "budget.accounts.burst": ACCOUNT[1],
+        "budget.connections.per_s": CONNECTIONS[0], "budget.connections.burst": CONNECTIONS[1],
+    });
+    propose(&world, 0, &first).context("budgets are proposed")?;
+    let settled = |no: usize| {
+        let status = world.ask(no, &json!("status")).unwrap_or_default();
+        status["generation"] == json!(2) && status["on_probation"].is_null() && status["out"].is_null()
+    };
+    wait_for(Duration::from_secs(60), "budgets in force", || (0..plan.routers).all(settled))?;
+    if world.has("join") {
+        world.kill(plan.routers - 1);
+    }
+    let begun = Instant::now();
+    let counts = Arc::new(Mutex::new(Counts::default()));
+    let clients: Vec<_> = (0..plan.routers * 2)
+        .map(|no| {
+            let (world, counts) = (Arc::clone(&world), Arc::clone(&counts));
+            thread::spawn(move || client(&world, &counts, no))
+        })
+        .collect();
+    let ailing = Arc::clone(&world);
+    let faults = thread::spawn(move || ail(&ailing));
+    let told = lower(&world, begun);
+    world.quiet.store(true, Ordering::SeqCst);
+    faults.join().expect("faults end");
+    let stuck = settle(&world);
+    thread::sleep(Duration::from_millis(2 * LEASE));
+    let calm = Instant::now();
+    thread::sleep(CALM);
+    let ended = Instant::now();
+    world.over.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    let counts = std::mem::take(&mut *counts.lock().unwrap());
+    let mut figures = audit(&world, counts, &told, [begun, calm, ended], stuck, ready);
+    world.end(&mut figures);
+    Ok(figures)
+}
+
+fn propose(world: &World, no: usize, what: &Value) -> Option<u64> {
+    let ask = json!({"propose": {"changes": what, "from": null, "by": "lab", "note": ""}});
+    world.ask(no, &ask)?["token"].as_u64()
+}
+
+/// While faults are made: the whole is lowered and raised again, where that is asked for, and one more router comes.
+fn lower(world: &World, begun: Instant) -> Vec<Told> {
+    let mut told = vec![Told { to: FILLS, asked: begun, held: Some(begun) }];
+    let end = begun + Duration::from_secs(world.plan.seconds);
+    let (mut last, mut joined) = (None::<(u64, f64, Instant)>, false);
+    while Instant::now() < end {
+        thread::sleep(Duration::from_millis(100));
+        if world.has("join") && !joined && begun.elapsed() * 3 > Duration::from_secs(world.plan.seconds) {
+            joined = true;
+            if !world.runs(world.seats.len() - 1) {
+                world.start(world.seats.len() - 1, None);
+            }
+        }
+        if !world.has("lower") {
+            continue;
+        }
+        let Some(no) = (0..world.seats.len()).find(|no| world.runs(*no)) else { continue };
+        match last {
+            None => {
+                let to = if told.last().is_some_and(|told| told.to == FILLS) { LOWERED } else { FILLS };
+                let asked = Instant::now();
+                let token = propose(world, no, &json!({"budget.origin_fills.per_s": to}));
+                last = token.map(|token| (token, to, asked));
+            }
+            Some((token, to, asked)) => {
+                let Some(end) = world.ask(no, &json!({"end": {"token": token}})) else { continue };
+                if end["end"] == json!("TookHold") {
+                    told.push(Told { to, asked, held: Some(Instant::now()) });
+                }
+                if !end.is_null() || asked.elapsed() > Duration::from_secs(20) {
+                    last = None;
+                }
+            }
+        }
+    }
+    // One that may yet take hold counts as if it did, where that allows more.
+    told.extend(last.map(|(_, to, asked)| Told { to, asked, held: None }));
+    told
+}
+
+/// One client of one router: most of what it asks for nobody holds.
+fn client(world: &World, counts: &Mutex<Counts>, no: usize) {
+    let router = no % world.seats.len();
+    let mut chance =
+        Pcg64Mcg::seed_from_u64(world.plan.seed.wrapping_mul(0x9E37_79B9).wrapping_add(no as u64));
+    let mut line = Line::new(world, router);
+    let begun = Instant::now();
+    while !world.over.load(Ordering::SeqCst) {
+        let kind = chance.random_range(0..20);
+        let object = match kind {
+            0 | 1 => format!("ee{:014x}", chance.random::<u64>() >> 8),
+            2..6 => format!("00000000000010{:02x}", chance.random_range(0..16)),
+            _ => format!("f1{:014x}", chance.random::<u64>() >> 8),
+        };
+        let ticket = format!("{}{:015x}", router % 2, chance.random::<u64>() >> 4);
+        let fields =
+            [("route", "pages"), ("trace", ticket.as_str()), ("patience", "2500"), ("entity", &object)];
+        let fields = [&fields[..], &[("chunk", "0"), ("tag", "17")]].concat();
+        let asked = Instant::now();
+        let Some(came) = line.ask(&fields) else { continue };
+        if world.asked.fetch_add(1, Ordering::Relaxed) >= world.plan.views {
+            thread::sleep(Duration::from_millis(50));
+        }
+        let mut counts = counts.lock().unwrap();
+        counts.figures.views += 1;
+        match came {
+            Came::Lost => counts.lost_with_router += 1,
+            Came::Nothing => counts.figures.answered_none += 1,
+            Came::Answer { own, reply, .. } => {
+                counts.figures.answered_twice += u64::from(!own);
+                let done = matches!(reply, Reply::Served { .. });
+                match reply {
+                    Reply::Served { .. } => counts.figures.done += 1,
+                    Reply::TurnedBack(_) => counts.figures.turned_back += 1,
+                    _ => counts.figures.written_off += 1,
+                }
+                if kind >= 6 {
+                    counts.wanted.push((router, asked, done));
+                }
+            }
+        }
+        drop(counts);
+        // Demand moves: for a few seconds some want much, and the others little.
+        let spell = begun.elapsed().as_secs() / 4;
+        let little = world.has("shift") && !(router as u64 + spell).is_multiple_of(3);
+        let most = if little { 120 } else { 16 };
+        thread::sleep(Duration::from_millis(chance.random_range(most / 4..most)));
+    }
+}
+
+/// A bucket that begins full says for all windows at once whether there were more than so much a second and one burst:
+/// how many were over, and the most of the whole that any window took.
+fn windows(times: &[Instant], burst: f64, rate: impl Fn(Instant) -> f64) -> (u64, f64) {
+    let mut sorted = times.to_vec();
+    sorted.sort_unstable();
+    let Some(first) = sorted.first().copied() else { return (0, 0.0) };
+    let (mut last, mut over, mut most) = (first, 0, 0f64);
+    let room = |at: Instant| burst + SLACK * rate(at);
+    let mut left = room(first);
+    for at in sorted {
+        left = (left + (at - last).as_secs_f64() * rate(at)).min(room(at)) - 1.0;
+        last = at;
+        most = most.max((room(at) - left) / room(at));
+        if left < 0.0 {
+            over += 1;
+            left = 0.0;
+        }
+    }
+    (over, most)
+}
+
+/// Reckons from what caches and clients saw.
+fn audit(
+    world: &World,
+    counts: Counts,
+    told: &[Told],
+    [begun, calm, ended]: [Instant; 3],
+    stuck: u64,
+    ready: Duration,
+) -> Figures {
+    let shared = world.fleet.lock().unwrap().shared();
+    let mut figures = counts.figures;
+    world.fleet.lock().unwrap().audit(&mut figures);
+    // A lowered whole counts from when it was known to hold, a raised one from when it was asked for.
+    let whole = |at: Instant| {
+        let mut whole = FILLS;
+        for pair in told.windows(2) {
+            let [old, new] = [pair[0].to, pair[1].to];
+            let from = if new < old { pair[1].held } else { Some(pair[1].asked) };
+            whole = if from.is_some_and(|from| at >= from) { new } else { whole };
+        }
+        whole
+    };
+    let from = |times: &[Instant]| times.iter().copied().filter(|at| *at >= begun).collect::<Vec<_>>();
+    let began: Vec<Instant> = shared.fills.iter().map(|fill| fill.0).collect();
+    let (fills_over, most) = windows(&from(&began), BURST.max(2.0 * (world.seats.len() + 4) as f64), whole);
+    let (further_over, most_further) = windows(&from(&shared.further), FURTHER[1], |_| FURTHER[0]);
+    let (views_over, most_views) = windows(&from(&shared.views), ACCOUNT[1], |_| ACCOUNT[0]);
+    let connections =
+        shared.connections.values().map(|times| windows(&from(times), CONNECTIONS[1], |_| CONNECTIONS[0]));
+    let (connections_over, most_connections) =
+        connections.fold((0, 0f64), |(over, most), (more, of)| (over + more, most.max(of)));
+    // In hand: what began and has not ended yet.
+    let mut edges: Vec<(Instant, i64)> =
+        shared.fills.iter().flat_map(|(from, to, _)| [(*from, 1), (*to, -1)]).collect();
+    edges.sort_unstable();
+    let (mut in_hand, mut most_in_hand) = (0i64, 0i64);
+    for (_, edge) in edges {
+        in_hand += edge;
+        most_in_hand = most_in_hand.max(in_hand);
+    }
+    let in_hand_over = (most_in_hand - IN_HAND as i64).max(0) as u64;
+    let used = began.iter().filter(|at| (calm..ended).contains(*at)).count() as f64;
+    let allowed: f64 = whole(calm) * (ended - calm).as_secs_f64();
+    // In two seconds of calm one that wants much gets something.
+    let mut spells: HashMap<(usize, u64), (u64, u64)> = HashMap::new();
+    for (router, at, done) in counts.wanted.iter().filter(|wanted| wanted.1 >= calm) {
+        let spell = spells.entry((*router, (*at - calm).as_secs() / 2)).or_default();
+        *spell = (spell.0 + 1, spell.1 + u64::from(*done));
+    }
+    let starved = spells.values().filter(|(wanted, had)| *wanted >= 10 && *had == 0).count();
+    // After most were killed: until the others fill as much as the whole allows.
+    let kills = world.made.lock().unwrap().clone();
+    let again = |at: Instant| {
+        let step = Duration::from_millis(100);
+        let full = |from: Instant| {
+            let to = from + Duration::from_millis(500);
+            let filled = began.iter().filter(|fill| (from..to).contains(*fill)).count() as f64;
+            to < ended && filled >= 0.85 * 0.5 * whole(from)
+        };
+        (1..100).map(|nth| step * nth).find(|after| full(at + *after)).map(|after| after.as_millis() as u64)
+    };
+    let killed = kills.iter().filter(|(_, act)| *act == "killmost");
+    let mut regrant: Vec<u64> = killed.filter_map(|(at, _)| again(*at)).collect();
+    regrant.sort_unstable();
+    let part = |of: f64| regrant.get((of * regrant.len() as f64) as usize).copied();
+    let (messages, bytes) = world.relay.carried();
+    let over = fills_over + further_over + views_over + connections_over + in_hand_over;
+    let more: Vec<(&str, Value)> = vec![
+        ("routers", json!(world.plan.routers)),
+        ("budgets", json!(5)),
+        ("windows_over", json!(over)),
+        ("fills_over", json!(fills_over)),
+        ("in_hand_over", json!(in_hand_over)),
+        ("further_over", json!(further_over)),
+        ("views_over", json!(views_over)),
+        ("connections_over", json!(connections_over)),
+        ("most_of_whole", json!(most)),
+        ("most_of_others", json!([most_further, most_views, most_connections])),
+        ("most_in_hand", json!(most_in_hand)),
+        ("used_of_whole", json!(used / allowed.max(1.0))),
+        ("starved", json!(starved)),
+        ("regrant_ms_p50", json!(part(0.5))),
+        ("regrant_ms_p99", json!(part(0.99))),
+        ("lowered", json!(told.len() - 1)),
+        ("filled", json!(began.len())),
+        ("further", json!(shared.further.len())),
+        ("stuck", json!(stuck)),
+        ("lost_with_router", json!(counts.lost_with_router)),
+        ("ready_ms", json!(ready.as_millis() as u64)),
+        ("relay_messages", json!(messages)),
+        ("relay_bytes", json!(bytes)),
+    ];
+    figures.more.extend(more.into_iter().map(|(name, value)| (name.to_string(), value)));
+    figures.judge(8, over + stuck);
+    figures
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet of stand-in caches with copies, fills, drains and purges, and the record that the audit reads.
 //! What is recorded is what the caches saw; the rules' times are reckoned from when the change log was told.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -43,6 +43,59 @@
     repeated: u64,
     sends: u64,
     fills: u64,
+    /// What is drawn on that routers share, where that is looked at.
+    shared: Option<Shared>,
+}
+
+/// What caches and the origin were asked for of what routers share, by their own clock.
+#[derive(Clone, Debug, Default)]
+pub struct Shared {
+    /// Fills by the origin: when each began and ended, and for which view.
+    pub fills: Vec<(Instant, Instant, String)>,
+    /// Dispatches of views that had failed before.
+    pub further: Vec<Instant>,
+    /// First dispatches of views.
+    pub views: Vec<Instant>,
+    /// New connections, by cache.
+    pub connections: HashMap<usize, Vec<Instant>>,
+    failed: HashSet<String>,
+    begun: HashSet<String>,
+    connected: HashSet<(usize, usize)>,
+}
+
+impl Shared {
+    /// Takes in one dispatch; what becomes of it, where that is special.
+    fn asked(&mut self, now: Instant, no: usize, seen: &Seen, ticket: &str, object: &str) -> Option<Deed> {
+        if self.connected.insert((no, seen.connection)) {
+            self.connections.entry(no).or_default().push(now);
+        }
+        if self.begun.insert(ticket.to_string()) {
+            self.views.push(now);
+        }
+        if self.failed.contains(ticket) {
+            self.further.push(now);
+        }
+        let mode = seen.headers.get("x-mode").map_or("", String::as_str);
+        // Nobody holds these: the origin is asked, unless only what is held is wanted.
+        let fills = seen.headers.contains_key("x-source") && !mode.split('+').any(|word| word == "h");
+        match &object[..2] {
+            "ee" => {
+                self.failed.insert(ticket.to_string());
+                if fills {
+                    self.fills.push((now, now, ticket.to_string()));
+                }
+                None
+            }
+            "f1" if fills => {
+                let takes = Duration::from_millis(20 + u64::from(object.as_bytes()[15] % 8) * 10);
+                self.fills.push((now, now + takes, ticket.to_string()));
+                let headers = "X-Remark: deep_fill\r\nX-Version: 4be0c1927d55a6f3\r\n";
+                Some(Deed::Run(takes, Arc::new(move |_| answer(200, headers, b"filled"))))
+            }
+            "f1" => Some(Deed::Say(answer(404, "", b""))),
+            _ => None,
+        }
+    }
 }
 
 /// Caches, parents and an origin, told to routers by one change log.
@@ -72,6 +125,10 @@
     if let Some(ages) = locked.ages.as_mut().filter(|_| !purged_lately) {
         ages.entry(ticket.clone()).or_default().push((now, accepts));
     }
+    let special = locked.shared.as_mut().and_then(|shared| shared.asked(now, no, seen, &ticket, object));
+    if let Some(deed) = special {
+        return deed;
+    }
     let mut named = vec![id.to_string()];
     named.extend(header("x-source"));
     let late = |id: &String| locked.drained.get(id).is_some_and(|told| now > *told + GRACE);
@@ -241,6 +298,15 @@
         self.events.push(purge);
     }
 
+    /// Has what routers share be looked at.
+    pub fn keep_shared(&mut self) {
+        self.record.lock().unwrap().shared = Some(Shared::default());
+    }
+
+    pub fn shared(&self) -> Shared {
+        self.record.lock().unwrap().shared.clone().unwrap_or_default()
+    }
+
     /// Dispatches that accept this age fail from now on, of views whose id begins so.
     pub fn fail(&self, age: u64, of: &str) {
         self.record.lock().unwrap().fails = Some((age, of.to_string()));
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! audited is seen at the caches and at the clients. One exception: `world` plays the router's own parts without I/O
 //! in virtual time.
 
+pub mod budgets;
 pub mod called;
 pub mod choices;
 pub mod demo;
@@ -11,6 +12,7 @@
 pub mod policy;
 pub mod proxy;
 pub mod relay;
+pub mod several;
 pub mod signed;
 pub mod simulated;
 pub mod stand_in;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,7 @@
 use clap::{Args, Parser, Subcommand};
 use tindoor_lab::called::{self, Plan};
 use tindoor_lab::figures::Figures;
-use tindoor_lab::{choices, demo, policy, signed, simulated};
+use tindoor_lab::{budgets, choices, demo, policy, signed, simulated};
 
 /// Experiments on loopback with stand-ins; each ends with 1 where a rule was broken.
 #[derive(Parser)]
@@ -89,6 +89,19 @@
         #[arg(long)]
         without: Option<String>,
     },
+    /// Routers of one fleet as processes that divide its budgets, with faults between them.
+    Budgets {
+        #[command(flatten)]
+        common: Common,
+        #[arg(long, default_value_t = 5)]
+        routers: usize,
+        /// Faults by name, with commas between; `all` for every one.
+        #[arg(long, default_value = "")]
+        faults: String,
+        /// Takes one guard out (a build of the router for tests only): lapse, epoch, returned, burst, wakes, floor.
+        #[arg(long)]
+        without: Option<String>,
+    },
     /// A fleet in virtual time, without sockets: changes of policy under faults, one day for each seed.
     Simulated {
         #[command(flatten)]
@@ -144,6 +157,10 @@
             let Common { seed, views, seconds, .. } = common;
             (common, policy::run(&policy::Plan { seed, views, seconds, routers, faults, without }))
         }
+        Experiment::Budgets { common, routers, faults, without } => {
+            let Common { seed, views, seconds, .. } = common;
+            (common, budgets::run(&budgets::Plan { seed, views, seconds, routers, faults, without }))
+        }
         Experiment::Simulated { common, days, routers, faults, without, budget } => {
             let figures = simulated::run(&simulated::Plan {
                 seed: common.seed,
--- a/crates/lab/src/signed.rs
+++ b/crates/lab/src/signed.rs
@@ -190,7 +190,7 @@
 /// Runs the experiment: half of the views before the old key is revoked, half after.
 pub fn run(plan: &Plan) -> Result<Figures> {
     if let Some(guard) = &plan.without {
-        crate::policy::known_guard(guard, &["links", "revoked", "clock"])?;
+        crate::several::known_guard(guard, &["links", "revoked", "clock"])?;
     }
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
     let fleet = Fleet::start(4);
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -507,9 +507,7 @@
     fn settle(&self, drawn: Drawn, end: (Verdict, Note)) {
         let lines = self.fills(drawn.offering);
         self.shares(|party, now| {
-            if !by_origin(end, self.tells_fills) {
-                party.back(now, drawn.at, &lines);
-            }
+            party.settled(now, drawn.at, &lines, by_origin(end, self.tells_fills));
             party.ended(&lines[3..]);
         });
     }
--- a/crates/shares/src/party.rs
+++ b/crates/shares/src/party.rs
@@ -236,11 +236,11 @@
         }
     }
 
-    /// What was spent then was not used: a hit fills nothing.
-    pub fn back(&mut self, now: Moment, spent: Moment, lines: &[Line]) {
+    /// What was spent then is over; where it was not used it comes back: a hit fills nothing.
+    pub fn settled(&mut self, now: Moment, spent: Moment, lines: &[Line], used: bool) {
         for line in lines {
             if let Some(held) = self.lines.get_mut(line) {
-                held.purse.back(now, spent);
+                held.purse.settled(now, spent, used);
             }
         }
     }
--- a/crates/shares/src/purse.rs
+++ b/crates/shares/src/purse.rs
@@ -228,13 +228,13 @@
         self.in_hand = self.in_hand.saturating_sub(1);
     }
 
-    /// What was charged then was not used.
-    pub fn back(&mut self, now: Moment, charged: Moment) {
+    /// What was charged then is over: it was used, or it comes back.
+    pub fn settled(&mut self, now: Moment, charged: Moment, used: bool) {
         self.settle(now);
         // Found from the newest on: it was charged a moment ago.
         if let Some(at) = self.charged.iter().rposition(|at| *at == charged) {
             self.charged.remove(at);
-            self.tokens += 1.0;
+            self.tokens += if used { 0.0 } else { 1.0 };
             self.cut();
         }
     }
