--- a/crates/lab/src/budgets.rs
+++ b/crates/lab/src/budgets.rs
@@ -33,6 +33,7 @@
     "restart",
     "leader",
     "clock",
+    "voters",
     "join",
     "lower",
     "shift",
@@ -41,20 +42,24 @@
 pub const GUARDS: &[&str] = &["lapse", "epoch", "returned", "burst", "wakes", "floor"];
 
 /// The wholes: fills by the origin a second and their burst, and what a lowered one is.
-const FILLS: f64 = 100.0;
-const LOWERED: f64 = 50.0;
-const BURST: f64 = 40.0;
-const IN_HAND: f64 = 24.0;
+const FILLS: f64 = 150.0;
+const LOWERED: f64 = 75.0;
+const BURST: f64 = 30.0;
+const IN_HAND: f64 = 40.0;
+const FLOORS: f64 = 0.05;
 const FURTHER: [f64; 2] = [30.0, 40.0];
 const ACCOUNT: [f64; 2] = [400.0, 60.0];
 const CONNECTIONS: [f64; 2] = [40.0, 60.0];
 
 /// How far apart a spending and its arrival at a cache may lie, on a machine with other things to do.
-const SLACK: f64 = 0.25;
+const SLACK: f64 = 0.15;
 
 /// How long it is calm at the end, after which use is counted.
 const CALM: Duration = Duration::from_millis(7000);
 
+/// Clients of each router: together they want more than the whole.
+const CLIENTS: usize = 6;
+
 /// A fill that was wanted: by which router, when, and whether it came.
 type Wanted = (usize, Instant, bool);
 
@@ -85,7 +90,7 @@
     };
     let (world, ready) = World::begin(plan, FAULTS, GUARDS, fleet, change)?;
     let first = json!({
-        "budget.routers_most": plan.routers + 4, "budget.floor_part": 0.05,
+        "budget.routers_most": plan.routers + 4, "budget.floor_part": FLOORS,
         "budget.origin_fills.per_s": FILLS, "budget.origin_fills.burst": BURST.max(2.0 * (plan.routers + 4) as f64),
         "budget.origin_fills.in_hand": IN_HAND, "budget.further.per_s": FURTHER[0], "budget.further.burst": FURTHER[1],
         "budget.accounts.per_s": ACCOUNT[0], "budget.accounts.burst": ACCOUNT[1],
@@ -102,7 +107,7 @@
     }
     let begun = Instant::now();
     let counts = Arc::new(Mutex::new(Counts::default()));
-    let clients: Vec<_> = (0..plan.routers * 2)
+    let clients: Vec<_> = (0..plan.routers * CLIENTS)
         .map(|no| {
             let (world, counts) = (Arc::clone(&world), Arc::clone(&counts));
             thread::spawn(move || client(&world, &counts, no))
@@ -215,10 +220,10 @@
             }
         }
         drop(counts);
-        // Demand moves: for a few seconds some want much, and the others little.
-        let spell = begun.elapsed().as_secs() / 4;
-        let little = world.has("shift") && !(router as u64 + spell).is_multiple_of(3);
-        let most = if little { 120 } else { 16 };
+        // Demand moves: each second others want much, and the rest little.
+        let spell = begun.elapsed().as_secs();
+        let little = world.has("shift") && !(router as u64 + spell).is_multiple_of(2);
+        let most = if little { 200 } else { 12 };
         thread::sleep(Duration::from_millis(chance.random_range(most / 4..most)));
     }
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -240,7 +240,7 @@
     fn tell(&mut self, mut event: Value) {
         self.seq += 1;
         event["seq"] = json!(self.seq);
-        self.log.say(&format!("{event}\n"));
+        self.log.tell(self.seq, format!("{event}\n"));
         self.log.stands_at(self.seq);
         self.events.push(event);
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -155,11 +155,33 @@
         }
         Experiment::Policy { common, routers, faults, without } => {
             let Common { seed, views, seconds, .. } = common;
-            (common, policy::run(&policy::Plan { seed, views, seconds, routers, faults, without }))
+            (
+                common,
+                policy::run(&policy::Plan {
+                    seed,
+                    views,
+                    seconds,
+                    routers,
+                    faults,
+                    without,
+                    few_voters: false,
+                }),
+            )
         }
         Experiment::Budgets { common, routers, faults, without } => {
             let Common { seed, views, seconds, .. } = common;
-            (common, budgets::run(&budgets::Plan { seed, views, seconds, routers, faults, without }))
+            (
+                common,
+                budgets::run(&budgets::Plan {
+                    seed,
+                    views,
+                    seconds,
+                    routers,
+                    faults,
+                    without,
+                    few_voters: true,
+                }),
+            )
         }
         Experiment::Simulated { common, days, routers, faults, without, budget } => {
             let figures = simulated::run(&simulated::Plan {
--- a/crates/lab/src/several.rs
+++ b/crates/lab/src/several.rs
@@ -30,6 +30,8 @@
     pub routers: usize,
     pub faults: String,
     pub without: Option<String>,
+    /// Three voters in any fleet, so that the others are more than half of it.
+    pub few_voters: bool,
 }
 
 /// The fleet's terms in the experiment, in milliseconds.
@@ -170,7 +172,7 @@
             let (operator, folder) = (root.join(format!("{name}.sock")), root.join(name));
             let fleet = json!({
                 "name": "lab", "listen": listens[name], "address": relay.addresses[name], "seeds": seeds,
-                "votes": true, "folder": folder, "operator": operator, "voters": if plan.routers < 5 { 3 } else { 5 },
+                "votes": true, "folder": folder, "operator": operator, "voters": if plan.routers < 5 || plan.few_voters { 3 } else { 5 },
                 "lease_ms": LEASE, "hold_out_ms": HOLD_OUT, "clock_bound_ms": BOUND, "beat_ms": BEAT, "probation_ms": PROBATION,
             });
             Seat {
@@ -361,9 +363,9 @@
         ails.double = if world.has("duplicate") { 0.1 } else { 0.0 };
         ails.most = Duration::from_millis(if world.has("delay") { 400 } else { 30 });
     });
-    const ACTS: [&str; 12] = [
-        "oneway", "split", "island", "kill", "killmost", "pause", "restart", "torn", "leader", "drain",
-        "purge", "clock",
+    const ACTS: [&str; 13] = [
+        "voters", "oneway", "split", "island", "kill", "killmost", "pause", "restart", "torn", "leader",
+        "drain", "purge", "clock",
     ];
     let acts: Vec<&str> = ACTS.into_iter().filter(|act| world.has(act)).collect();
     let mut drained = 0;
@@ -409,6 +411,22 @@
                 });
                 healed = healed.max(until);
             }
+            // Those that vote are cut off from all others: more than half go on without them.
+            "voters" => {
+                let status = (0..count).find_map(|no| world.ask(no, &json!("status"))).unwrap_or_default();
+                let voters = status["voters"].as_array().cloned().unwrap_or_default();
+                let votes = |seat: &Seat| voters.contains(&json!(seat.name));
+                world.relay.ail(|ails| {
+                    for (a, b) in (0..count * count).map(|pair| (pair / count, pair % count)) {
+                        let [a, b] = [&world.seats[a], &world.seats[b]];
+                        if votes(a) != votes(b) {
+                            ails.cut.insert((a.name.clone(), b.name.clone()));
+                        }
+                    }
+                });
+                healed = healed.max(now + Duration::from_millis(3 * LEASE));
+                next = healed + Duration::from_millis(500);
+            }
             // One is cut off from all for longer than a change takes.
             "island" => {
                 world.relay.ail(|ails| {
--- a/crates/lab/src/stand_in.rs
+++ b/crates/lab/src/stand_in.rs
@@ -190,6 +190,8 @@
     open: Watched<Vec<TcpStream>>,
     /// The number that its beats tell; none while it is silent.
     pub beat: Watched<Option<u64>>,
+    /// What is said again to whoever asks from before it.
+    past: Watched<Vec<(u64, String)>>,
 }
 
 impl ChangeLog {
@@ -199,16 +201,28 @@
         let (asked, open) = (Watched::<Vec<u64>>::default(), Watched::<Vec<TcpStream>>::default());
         let beat = Watched::default();
         beat.change(|beat| *beat = Some(1));
-        let log = Self { address, asked: asked.clone(), open: open.clone(), beat: beat.clone() };
+        let past = Watched::<Vec<(u64, String)>>::default();
+        let (told, again) = (open.clone(), past.clone());
+        let log = Self { address, asked: asked.clone(), open: told, beat: beat.clone(), past };
         let beaten = open.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
-                let stream = stream.unwrap();
+                let mut stream = stream.unwrap();
                 let mut line = String::new();
                 let _ = BufReader::new(&stream).read_line(&mut line);
-                let since = line.trim().strip_prefix("since ").expect("since N").parse().unwrap();
+                // One that was killed meanwhile says nothing.
+                let Some(since) = line.trim().strip_prefix("since ").and_then(|since| since.parse().ok())
+                else {
+                    continue;
+                };
                 let _ = stream.set_write_timeout(Some(Duration::from_secs(1)));
-                open.change(|open| open.push(stream));
+                open.change(|open| {
+                    let missed: Vec<(u64, String)> = again.change(|past| past.clone());
+                    for (_, line) in missed.iter().filter(|(seq, _)| *seq > since) {
+                        let _ = stream.write_all(line.as_bytes());
+                    }
+                    open.push(stream);
+                });
                 asked.change(|asked| asked.push(since));
             }
         });
@@ -235,6 +249,14 @@
         self.beat.change(|beat| *beat = Some(number));
     }
 
+    /// Says it to whoever is there, and to whoever asks for it later.
+    pub fn tell(&self, seq: u64, line: String) {
+        self.open.change(|open| {
+            open.retain_mut(|stream| stream.write_all(line.as_bytes()).is_ok());
+            self.past.change(|past| past.push((seq, line)));
+        });
+    }
+
     pub fn say(&self, text: &str) {
         self.open.wait("a connection", |open| {
             open.retain_mut(|stream| stream.write_all(text.as_bytes()).is_ok());
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -83,7 +83,7 @@
             ("budget.floor_part", 0.05),
             ("budget.origin_fills.per_s", rate),
             ("budget.origin_fills.burst", burst),
-            ("budget.origin_fills.in_hand", IN_HAND.max(self.routers as f64 * 2.0)),
+            ("budget.origin_fills.in_hand", IN_HAND.max(rate * 0.6).max(self.routers as f64 * 2.0)),
             ("offering.pages.cut_off_ms", 500.0),
         ];
         Policy::default().with(keys.map(|(key, number)| (key.to_string(), number)))
@@ -175,7 +175,7 @@
     life: u64,
     /// How many times as many views come to it as usual.
     heat: f64,
-    /// Fills wanted and had in the last calm second.
+    /// Fills wanted and had since the last look at them.
     calm: [u64; 2],
 }
 
@@ -629,15 +629,17 @@
         self.came.granted_over += u64::from(most > 1.0 + 1e-9);
         self.came.most_granted = self.came.most_granted.max((most * 1000.0) as u64);
         let settled = self.ailed + 3 * self.day.terms.lease.as_micros();
-        let calm = self.now > settled.max(5_000_000);
-        if self.now % 1_000_000 < 20_000 {
+        let calm = self.now > settled.max(8_000_000);
+        // Long enough for one of many to have its turn.
+        let spell = 4_000_000;
+        if self.now % spell < 20_000 {
             if calm && self.uses.len() == 1 {
                 let alive = self.machines.iter().filter(|machine| machine.node.is_some());
                 let starved = alive.filter(|machine| machine.calm[0] >= 20 && machine.calm[1] == 0).count();
                 self.came.starved += starved as u64;
                 let had: u64 = self.machines.iter().map(|machine| machine.calm[1]).sum();
                 self.came.filled += had as f64;
-                self.came.allowed += self.day.budget.unwrap_or_default();
+                self.came.allowed += self.day.budget.unwrap_or_default() * spell as f64 / 1e6;
             }
             self.machines.iter_mut().for_each(|machine| machine.calm = [0, 0]);
         }
--- a/crates/lab/tests/simulated.rs
+++ b/crates/lab/tests/simulated.rs
@@ -52,3 +52,43 @@
         assert!(figures.rules_broken > 0, "without {guard} nothing was broken:\n{}", figures.table());
     }
 }
+
+/// Days on which a hundred fills a second by the origin are divided.
+fn divided(
+    seed: u64,
+    days: u64,
+    routers: usize,
+    faults: &str,
+    without: Option<&str>,
+) -> tindoor_lab::figures::Figures {
+    let (faults, without) = (faults.to_string(), without.map(str::to_string));
+    run(&Plan { seed, seconds: 20, days, routers, faults, without, budget: Some(100.0) })
+        .expect("a plan that can be run")
+}
+
+#[test]
+fn in_calm_what_there_is_of_a_budget_is_used_and_nobody_starves() {
+    for faults in ["", "shift"] {
+        let figures = divided(1, 8, 7, faults, None);
+        assert_eq!(figures.rules_broken, 0, "{}", figures.table());
+        assert!(figures.more["used_of_whole"].as_f64() > Some(0.9), "{}", figures.table());
+        assert_eq!(figures.more["starved"], 0, "{}", figures.table());
+    }
+}
+
+#[test]
+fn under_every_fault_no_more_is_spent_than_the_whole_and_no_more_could_be() {
+    let figures = divided(1, 40, 7, "all", None);
+    assert_eq!(figures.rules_broken, 0, "{}", figures.table());
+    // One of a location lends on to the others where there are many.
+    let figures = divided(1, 2, 80, "shift,drop,killmost,pause", None);
+    assert_eq!(figures.rules_broken, 0, "{}", figures.table());
+}
+
+#[test]
+fn each_guard_of_budgets_is_needed() {
+    for guard in ["lapse", "epoch", "returned", "burst", "wakes", "floor"] {
+        let broken = (0..8).any(|nth| divided(1 + 10 * nth, 10, 7, "all", Some(guard)).rules_broken > 0);
+        assert!(broken, "without {guard} nothing was broken in 80 days");
+    }
+}
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -14,7 +14,15 @@
     let turn = &TURNS[NEXT.fetch_add(1, Ordering::Relaxed) % TURNS.len()];
     let _turn = turn.lock().unwrap_or_else(PoisonError::into_inner);
     let without = without.map(str::to_string);
-    let plan = Plan { seed, views: 1_000_000, seconds, routers, faults: faults.to_string(), without };
+    let plan = Plan {
+        seed,
+        views: 1_000_000,
+        seconds,
+        routers,
+        faults: faults.to_string(),
+        without,
+        few_voters: false,
+    };
     run(&plan).expect("the experiment can be run")
 }
 
--- a/crates/shares/src/book.rs
+++ b/crates/shares/src/book.rs
@@ -75,6 +75,10 @@
     fn settle(&mut self, now: Moment, whole: &Whole, confirmed: Option<Moment>, drift: Span, lapses: bool) {
         let lag = whole.lag + drift;
         for child in self.children.values_mut() {
+            // Whoever is silent for so long wants nothing, as far as is known: others have the room.
+            if now >= child.until + lag {
+                child.claim = Claim::default();
+            }
             if child.out != Share::NONE && (now >= child.until + lag || !lapses) {
                 let over = if lapses { child.until + lag } else { now };
                 self.cooling.push((over, child.out));
--- /dev/null
+++ b/crates/shares/tests/stories.rs
@@ -0,0 +1,317 @@
+//! Stories of budgets that are divided: what is lent, comes back, lapses and moves, and what is never over the whole.
+
+use proptest::prelude::*;
+use tindoor::time::{Moment, Span};
+use tindoor_fleet::{Start, Terms};
+use tindoor_shares::{Guards, Kind, Line, Party, Plan, Purse, Share, UNIT, Whole, Wish, divide};
+
+const LINE: Line = Line { budget: 1, of: 0 };
+
+fn terms() -> Terms {
+    Terms {
+        lease: Span::millis(1000),
+        hold_out: Span::secs(6.0),
+        bound: Span::millis(40),
+        beat: Span::millis(100),
+        drift_ppm: 200,
+    }
+}
+
+fn rate(per_second: f64, burst: f64) -> Whole {
+    let floor = Share { flow: 0, stock: UNIT };
+    Whole { kind: Kind::Rate, share: Share::rate(per_second, burst), floor, routers: 4, lag: Span::ZERO }
+}
+
+fn plan(whole: Whole) -> Plan {
+    Plan { any: [(LINE.budget, whole)].into(), ..Plan::default() }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::at_micros(10_000_000 + ms * 1000)
+}
+
+fn party(no: u64, plan: &Plan, guards: Guards) -> Party {
+    let mut party = Party::new(Start(no), terms(), guards, 1);
+    party.plan(at(0), plan, None);
+    party.floors(at(0), true);
+    party
+}
+
+/// Wants much of the line for so long.
+fn wants(party: &mut Party, from: u64, to: u64) -> usize {
+    (from..to).step_by(5).filter(|ms| party.spend(at(*ms), &[LINE])).count()
+}
+
+fn share(party: &mut Party, ms: u64) -> Share {
+    party
+        .might_spend(at(ms))
+        .iter()
+        .find(|(line, _)| *line == LINE)
+        .map(|(_, share)| *share)
+        .unwrap_or_default()
+}
+
+/// One asks, and what it is answered arrives.
+fn exchange(leader: &mut Party, other: &mut Party, no: u64, ms: u64) {
+    leader.leads(at(ms), 1, Some(at(ms)));
+    if let Some(want) = other.ask(at(ms)) {
+        let lend = leader.asked(at(ms), Start(no), want).expect("it is new");
+        other.lent(at(ms + 1), lend);
+    }
+}
+
+/// A leader past its first lease, and another, who both want more than there is.
+fn two(guards: Guards) -> [Party; 2] {
+    let plan = plan(rate(100.0, 20.0));
+    let [mut leader, mut other] = [1, 2].map(|no| party(no, &plan, guards));
+    for ms in (0..3000).step_by(100) {
+        wants(&mut leader, ms, ms + 100);
+        wants(&mut other, ms, ms + 100);
+        exchange(&mut leader, &mut other, 2, ms + 100);
+    }
+    [leader, other]
+}
+
+#[test]
+fn two_that_want_all_have_half_each_and_never_more_than_the_whole() {
+    let [mut leader, mut other] = two(Guards::default());
+    let [a, b] = [share(&mut leader, 3000), share(&mut other, 3001)];
+    assert!(a.plus(b).within(Share::rate(100.0, 20.0)), "{a:?} {b:?}");
+    assert!(a.flow > 45_000 && b.flow > 45_000, "{a:?} {b:?}");
+}
+
+#[test]
+fn a_new_leader_lends_nothing_before_a_lease_has_passed_but_what_is_shown_to_it_goes_on() {
+    let plan = plan(rate(100.0, 20.0));
+    let [_, mut other] = two(Guards::default());
+    let before = share(&mut other, 3050);
+    let mut next = party(3, &plan, Guards::default());
+    let mut stranger = party(4, &plan, Guards::default());
+    wants(&mut next, 3000, 3100);
+    wants(&mut stranger, 3000, 3100);
+    wants(&mut other, 3000, 3100);
+    next.leads(at(3100), 2, Some(at(3100)));
+    for (party, no) in [(&mut other, 2), (&mut stranger, 4)] {
+        let want = party.ask(at(3100)).expect("nobody was asked");
+        let lend = next.asked(at(3100), Start(no), want).expect("it is new");
+        party.lent(at(3101), lend);
+    }
+    assert_eq!(share(&mut other, 3150).flow, before.flow, "what it held goes on");
+    assert_eq!(share(&mut stranger, 3150), Share { flow: 0, stock: UNIT }, "no more than its floor");
+    assert_eq!(share(&mut next, 3150).flow, 0, "nor for the leader itself");
+    // The first leader's own half has lapsed a lease later.
+    for ms in (3200..6000).step_by(100) {
+        wants(&mut stranger, ms, ms + 100);
+        next.leads(at(ms), 2, Some(at(ms)));
+        if let Some(want) = stranger.ask(at(ms)) {
+            let lend = next.asked(at(ms), Start(4), want).expect("it is new");
+            stranger.lent(at(ms + 1), lend);
+        }
+    }
+    assert!(share(&mut stranger, 5900).flow > 45_000);
+}
+
+#[test]
+fn one_that_slept_past_its_lease_spends_its_floor_alone_before_it_has_asked() {
+    let [_, mut other] = two(Guards::default());
+    let spent = (0..50).filter(|_| other.spend(at(9000), &[LINE])).count();
+    assert!(spent <= 1, "{spent} spent of what had lapsed");
+    let [_, mut other] = two(Guards { wakes: false, ..Guards::default() });
+    assert!((0..50).filter(|_| other.spend(at(9000), &[LINE])).count() > 1, "the guard is needed");
+}
+
+#[test]
+fn the_room_of_one_that_is_silent_comes_back_after_its_lease_and_no_sooner() {
+    let [mut leader, mut other] = two(Guards::default());
+    let before = share(&mut leader, 3000);
+    for ms in (3100..3900).step_by(100) {
+        wants(&mut leader, ms, ms + 100);
+        leader.leads(at(ms), 1, Some(at(ms)));
+        let sum = share(&mut leader, ms).plus(share(&mut other, ms));
+        assert!(sum.within(Share::rate(100.0, 20.0)), "{ms}: {sum:?}");
+    }
+    for ms in (3900..5200).step_by(100) {
+        wants(&mut leader, ms, ms + 100);
+        leader.leads(at(ms), 1, Some(at(ms)));
+    }
+    assert!(share(&mut leader, 5200).flow > before.flow * 3 / 2, "within two leases");
+}
+
+#[test]
+fn what_moves_is_given_back_before_it_is_lent_again_also_where_the_answer_is_lost() {
+    let [mut leader, mut other] = two(Guards::default());
+    // It wants nothing more: asked at each beat, but no answer arrives.
+    for ms in (3400..4300).step_by(300) {
+        wants(&mut leader, ms - 300, ms);
+        leader.leads(at(ms), 1, Some(at(ms)));
+        let want = other.ask(at(ms)).expect("the last was in vain");
+        drop(leader.asked(at(ms), Start(2), want));
+        leader.leads(at(ms), 1, Some(at(ms)));
+        let sum = share(&mut leader, ms).plus(share(&mut other, ms));
+        assert!(sum.within(Share::rate(100.0, 20.0)), "{ms}: {sum:?}");
+    }
+}
+
+#[test]
+fn an_answer_to_an_earlier_question_is_void() {
+    let [mut leader, mut other] = two(Guards::default());
+    leader.leads(at(3400), 1, Some(at(3400)));
+    let early = other.ask(at(3400)).expect("none is open");
+    let late = leader.asked(at(3400), Start(2), early).expect("it is new");
+    let again = other.ask(at(3700)).expect("the first was in vain");
+    let before = share(&mut other, 3700);
+    other.lent(at(3701), late);
+    assert_eq!(share(&mut other, 3701), before, "it may have been lent to others meanwhile");
+    // Nor does an earlier question count that comes after a later one.
+    assert!(leader.asked(at(3702), Start(2), again.clone()).is_some());
+    assert!(leader.asked(at(3703), Start(2), again).is_none());
+}
+
+#[test]
+fn a_lowered_whole_is_what_is_lent_from_its_decision_on() {
+    let [mut leader, mut other] = two(Guards::default());
+    let (old, new) = (plan(rate(100.0, 20.0)), plan(rate(40.0, 20.0)));
+    leader.plan(at(3000), &old, Some(&new));
+    for ms in (3100..4300).step_by(100) {
+        wants(&mut leader, ms, ms + 100);
+        wants(&mut other, ms, ms + 100);
+        exchange(&mut leader, &mut other, 2, ms);
+    }
+    // All that was lent before has lapsed a lease after the decision: before the moment at which it holds.
+    let sum = share(&mut leader, 4300).plus(share(&mut other, 4300));
+    assert!(sum.within(Share::rate(40.0, 20.0)), "{sum:?}");
+}
+
+#[test]
+fn what_is_in_hand_counts_though_its_share_was_lowered() {
+    let whole = Whole {
+        kind: Kind::Level,
+        share: Share::level(10.0),
+        floor: Share::NONE,
+        routers: 4,
+        lag: Span::secs(1.0),
+    };
+    let mut purse = Purse::new(whole, at(0));
+    purse.grant(at(0), Share::level(8.0), at(1000));
+    assert_eq!((0..12).filter(|_| purse.spend(at(1))).count(), 8);
+    purse.grant(at(2), Share::level(2.0), at(1000));
+    assert_eq!(purse.holds(at(3)), Share::level(8.0), "until they end");
+    (0..7).for_each(|_| purse.ended());
+    assert_eq!(purse.holds(at(4)), Share::level(2.0));
+}
+
+#[test]
+fn a_part_counts_for_as_long_as_it_is_reckoned_over() {
+    let share = |part: u64| Share { flow: 0, stock: part };
+    let whole =
+        Whole { kind: Kind::Part, share: share(1000), floor: Share::NONE, routers: 4, lag: Span::secs(1.0) };
+    let mut purse = Purse::new(whole, at(0));
+    purse.grant(at(0), share(800), at(5000));
+    purse.grant(at(100), share(200), at(5000));
+    assert!((purse.part(at(100)) - 0.2).abs() < 1e-9);
+    assert_eq!(purse.holds(at(900)), share(800));
+    assert_eq!(purse.holds(at(1200)), share(200));
+}
+
+#[test]
+fn what_was_not_used_comes_back_once_and_never_beyond_the_burst() {
+    let mut purse = Purse::new(rate(10.0, 4.0), at(0));
+    purse.grant(at(0), Share::rate(10.0, 3.0), at(60_000));
+    let full = at(2000);
+    assert_eq!((0..9).filter(|_| purse.spend(full)).count(), 4);
+    // Nothing comes while what is out may come back.
+    assert!(!purse.affords(full + Span::millis(90)));
+    (0..9).for_each(|_| purse.settled(full + Span::millis(90), full, false));
+    let again = (0..9).filter(|_| purse.spend(full + Span::millis(90))).count();
+    assert_eq!(again, 4);
+}
+
+#[test]
+fn a_start_has_nothing_at_hand() {
+    let mut purse = Purse::new(rate(10.0, 20.0), at(0));
+    assert!(!purse.spend(at(0)), "a process before it may just have spent that");
+    purse.grant(at(0), Share::rate(10.0, 19.0), at(60_000));
+    assert!(!purse.spend(at(50)) && purse.spend(at(150)));
+}
+
+proptest! {
+    /// Never over the whole, nobody more than it asks, and who gets less than it asks gets, by weight, no less than anybody
+    /// else but a grain.
+    #[test]
+    fn a_division_is_max_min(
+        whole in 0u64..100_000,
+        asks in prop::collection::vec((0u64..20_000, 1u64..5), 0..40),
+        turn in 0usize..50,
+    ) {
+        let wishes: Vec<Wish> = asks.iter().map(|(wants, weight)| Wish { wants: *wants, weight: *weight }).collect();
+        let given = divide(whole, &wishes, 1, turn);
+        let sum: u64 = given.iter().sum();
+        let wanted: u64 = wishes.iter().map(|wish| wish.wants).sum();
+        prop_assert!(sum <= whole);
+        prop_assert!(sum + wishes.len() as u64 >= whole.min(wanted));
+        for (wish, got) in wishes.iter().zip(&given) {
+            prop_assert!(*got <= wish.wants);
+            if *got < wish.wants {
+                for (other, theirs) in wishes.iter().zip(&given) {
+                    prop_assert!(theirs / other.weight <= got / wish.weight + 2);
+                }
+            }
+        }
+    }
+
+    /// One whose demand moves a little moves nobody by more than that.
+    #[test]
+    fn a_division_changes_little_where_demand_does(
+        asks in prop::collection::vec(0u64..20_000, 2..30),
+        more in 0u64..50,
+    ) {
+        let wish = |wants: &u64| Wish { wants: *wants, weight: 1 };
+        let before = divide(100_000, &asks.iter().map(wish).collect::<Vec<_>>(), 1, 0);
+        let mut moved = asks.clone();
+        moved[0] += more;
+        let after = divide(100_000, &moved.iter().map(wish).collect::<Vec<_>>(), 1, 0);
+        for (old, new) in before.iter().zip(&after) {
+            prop_assert!(old.abs_diff(*new) <= more + 1);
+        }
+    }
+
+    /// Whatever it is granted, spends, gets back and when: in no window does it spend more than what it held at most of
+    /// stock, and what came of its flow.
+    #[test]
+    fn a_purse_never_spends_more_than_it_was_granted(
+        steps in prop::collection::vec((0u64..400, 0u8..4, 0u64..50, 0u64..10), 1..200),
+    ) {
+        let whole = rate(60.0, 40.0);
+        let mut purse = Purse::new(whole, at(0));
+        let (mut now, mut spent) = (0u64, Vec::<(u64, bool)>::new());
+        for (wait, deed, flow, stock) in steps {
+            now += wait;
+            match deed {
+                0 => {
+                    let share = Share::rate(flow as f64, stock as f64);
+                    purse.grant(at(now), share, at(now + 700));
+                }
+                1 => {
+                    for (when, used) in spent.iter_mut().rev().take(3) {
+                        if *used && now - *when < 240 {
+                            *used = false;
+                            purse.settled(at(now), at(*when), false);
+                        }
+                    }
+                }
+                _ => (0..stock).for_each(|_| {
+                    if purse.spend(at(now)) {
+                        spent.push((now, true));
+                    }
+                }),
+            }
+        }
+        // Of what it may have held at most, 50 a second and 10 units with its floor.
+        let (mut left, mut last) = (10.0f64, 0u64);
+        for (when, _) in spent.iter().filter(|(_, used)| *used) {
+            left = (left + (when - last) as f64 / 1000.0 * 49.0).min(10.0) - 1.0;
+            last = *when;
+            prop_assert!(left > -1e-6, "at {when}");
+        }
+    }
+}
