--- a/crates/lab/src/budgets.rs
+++ b/crates/lab/src/budgets.rs
@@ -121,14 +121,21 @@
     let stuck = settle(&world);
     thread::sleep(Duration::from_millis(2 * LEASE));
     let calm = Instant::now();
+    // What use is held against, and who takes no views as its clock is off: asked of the routers, as nothing is
+    // forgiven by it.
+    let in_force = (0..plan.routers).find_map(|no| world.ask(no, &json!("policy"))).unwrap_or_default();
+    let whole = in_force["policy"]["budget.origin_fills.per_s"].as_f64().unwrap_or(FILLS);
     thread::sleep(CALM);
     let ended = Instant::now();
+    let out = |no: &usize| !world.ask(*no, &json!("status")).unwrap_or_default()["out"].is_null();
+    let out: Vec<usize> = (0..plan.routers).filter(out).collect();
     world.over.store(true, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
     }
-    let counts = std::mem::take(&mut *counts.lock().unwrap());
-    let mut figures = audit(&world, counts, &told, [begun, calm, ended], stuck, ready);
+    let mut counts = std::mem::take(&mut *counts.lock().unwrap());
+    counts.wanted.retain(|(router, ..)| !out.contains(router));
+    let mut figures = audit(&world, counts, &told, whole, [begun, calm, ended], stuck, ready);
     world.end(&mut figures);
     Ok(figures)
 }
@@ -254,6 +261,7 @@
     world: &World,
     counts: Counts,
     told: &[Told],
+    in_calm: f64,
     [begun, calm, ended]: [Instant; 3],
     stuck: u64,
     ready: Duration,
@@ -291,7 +299,7 @@
     }
     let in_hand_over = (most_in_hand - IN_HAND as i64).max(0) as u64;
     let used = began.iter().filter(|at| (calm..ended).contains(*at)).count() as f64;
-    let allowed: f64 = whole(calm) * (ended - calm).as_secs_f64();
+    let allowed: f64 = in_calm * (ended - calm).as_secs_f64();
     // In two seconds of calm one that wants much gets something.
     let mut spells: HashMap<(usize, u64), (u64, u64)> = HashMap::new();
     for (router, at, done) in counts.wanted.iter().filter(|wanted| wanted.1 >= calm) {
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 
+use tindoor_lab::budgets;
 use tindoor_lab::figures::Figures;
 use tindoor_lab::policy::{Plan, run};
 
@@ -86,3 +87,25 @@
 fn what_was_agreed_must_last_over_a_kill() {
     is_needed("synced", "kill,killmost");
 }
+
+fn divided(seed: u64, seconds: u64, faults: &str) -> Figures {
+    let turn = &TURNS[NEXT.fetch_add(1, Ordering::Relaxed) % TURNS.len()];
+    let _turn = turn.lock().unwrap_or_else(PoisonError::into_inner);
+    let faults = faults.to_string();
+    let plan = Plan { seed, views: 1_000_000, seconds, routers: 5, faults, without: None, few_voters: true };
+    budgets::run(&plan).expect("the experiment can be run")
+}
+
+#[test]
+fn routers_share_out_a_budget_and_use_most_of_it() {
+    let figures = divided(1, 4, "shift");
+    assert_eq!(figures.rules_broken, 0, "{}", figures.table());
+    // A slow machine does not ask for all that there is.
+    assert!(figures.more["used_of_whole"].as_f64() > Some(0.5), "{}", figures.table());
+}
+
+#[test]
+fn with_routers_killed_paused_and_cut_off_no_window_is_over_the_whole() {
+    let figures = divided(2, 12, "all");
+    assert_eq!(figures.rules_broken, 0, "{}", figures.table());
+}
