A charge that comes back leaves what would be there had it never been made

Cause: a charge that may yet come back kept its place in the burst for 250 ms (crates/shares/src/purse.rs, cut), so a burst of two let through eight a second.

--- a/crates/shares/src/purse.rs
+++ b/crates/shares/src/purse.rs
@@ -7,8 +7,7 @@
 
 use crate::{Kind, Share, UNIT, Whole};
 
-/// How long a charge may be given back: a hit is known by then to have filled nothing. Until then its token comes to
-/// nobody else.
+/// How long a charge may be given back: a hit is known by then to have filled nothing.
 const BACK_WITHIN: Span = Span::millis(250);
 
 /// Slices of demand that are kept, and how long each is.
@@ -84,8 +83,9 @@
     /// Units of a rate that are there at `at`.
     tokens: f64,
     at: Moment,
-    /// When each charge was made that may still be given back.
+    /// When each charge was made that may still be given back, and what was there before the first of them, when.
     charged: VecDeque<Moment>,
+    base: (f64, Moment),
     /// Units of a level in hand.
     in_hand: u64,
     /// Higher grants of the last while, for what counts on after it was lowered.
@@ -107,6 +107,7 @@
             tokens: 0.0,
             at: now,
             charged: VecDeque::new(),
+            base: (0.0, now),
             in_hand: 0,
             before: VecDeque::new(),
             demand: Demand::default(),
@@ -125,7 +126,7 @@
             self.settle(now);
             self.whole = whole;
             self.grant = self.grant.least(whole.divided());
-            self.cut();
+            self.anew();
         }
     }
 
@@ -135,8 +136,8 @@
             self.before.iter().map(|(_, stock)| *stock).max().unwrap_or_default().max(self.grant.stock);
         self.before.clear();
         self.before.push_back((now, most));
-        self.charged.clear();
         (self.grant, self.until, self.tokens, self.at) = (Share::NONE, None, 0.0, now);
+        self.anew();
         (self.demand, self.used) = (Demand::default(), now);
     }
 
@@ -146,12 +147,14 @@
         if share.stock < self.grant.stock && self.until.is_some() {
             self.before.push_back((now, self.grant.stock));
         }
-        let more = share.stock.saturating_sub(self.grant.stock);
+        let (more, same) = (share.stock.saturating_sub(self.grant.stock), share == self.grant);
         (self.grant, self.until) = (share, Some(until));
         if self.comes_full {
             self.tokens += more as f64 / UNIT as f64;
         }
-        self.cut();
+        if !same {
+            self.anew();
+        }
     }
 
     /// When the grant lapses, if there is one.
@@ -167,34 +170,38 @@
 
     /// Lets time pass: tokens come, charges become sure, a grant lapses.
     fn settle(&mut self, now: Moment) {
-        while self.charged.front().is_some_and(|at| now.since(*at) > BACK_WITHIN) {
+        while let Some(first) = self.charged.front().copied().filter(|at| now.since(*at) > BACK_WITHIN) {
             self.charged.pop_front();
+            self.base = (self.after(self.base, first) - 1.0, first);
         }
         while self.before.front().is_some_and(|(at, _)| now.since(*at) > self.whole.lag) {
             self.before.pop_front();
         }
         if let Some(until) = self.until.filter(|until| now >= *until) {
-            self.flow(until);
+            self.tokens = self.after((self.tokens, self.at), until);
+            self.at = self.at.max(until);
             if self.grant.stock > 0 {
                 self.before.push_back((until, self.grant.stock));
             }
             (self.grant, self.until) = (Share::NONE, None);
-            self.cut();
+            self.anew();
         }
-        self.flow(now);
+        self.tokens = self.after((self.tokens, self.at), now);
+        self.at = self.at.max(now);
     }
 
-    fn flow(&mut self, to: Moment) {
+    /// What there is some time after so much was, by the share that holds.
+    fn after(&self, (tokens, at): (f64, Moment), now: Moment) -> f64 {
         let share = self.whole.floor.plus(self.grant);
-        self.tokens += share.flow as f64 / UNIT as f64 * to.since(self.at).as_secs();
-        self.at = self.at.max(to);
-        self.cut();
+        let came = share.flow as f64 / UNIT as f64 * now.since(at).as_secs();
+        (tokens + came).min(share.stock as f64 / UNIT as f64)
     }
 
-    /// What is at hand and what may come back are together no more than the burst.
-    fn cut(&mut self) {
-        let burst = self.whole.floor.plus(self.grant).stock as f64 / UNIT as f64;
-        self.tokens = self.tokens.min((burst - self.charged.len() as f64).max(0.0));
+    /// Another share holds from now on: what is at hand is cut to it, and what was charged before stays so.
+    fn anew(&mut self) {
+        self.tokens = self.after((self.tokens, self.at), self.at);
+        self.charged.clear();
+        self.base = (self.tokens, self.at);
     }
 
     /// Whether one unit could be spent now.
@@ -213,6 +220,9 @@
         self.used = now;
         match self.whole.kind {
             Kind::Rate if affords => {
+                if self.charged.is_empty() {
+                    self.base = (self.tokens, now);
+                }
                 self.tokens -= 1.0;
                 self.charged.push_back(now);
             }
@@ -228,15 +238,19 @@
         self.in_hand = self.in_hand.saturating_sub(1);
     }
 
-    /// What was charged then is over: it was used, or it comes back.
+    /// What was charged then is over: it was used, or it comes back. Then there is what would be there had it never been
+    /// charged: what came meanwhile does not come twice.
     pub fn settled(&mut self, now: Moment, charged: Moment, used: bool) {
         self.settle(now);
-        // Found from the newest on: it was charged a moment ago.
-        if let Some(at) = self.charged.iter().rposition(|at| *at == charged) {
-            self.charged.remove(at);
-            self.tokens += if used { 0.0 } else { 1.0 };
-            self.cut();
+        // Found from the newest on: it was charged a moment ago. One that was used can't come back, nor does one whose
+        // share has changed since.
+        let Some(at) = self.charged.iter().rposition(|at| *at == charged).filter(|_| !used) else { return };
+        self.charged.remove(at);
+        let mut there = self.base;
+        for charge in &self.charged {
+            there = (self.after(there, *charge) - 1.0, *charge);
         }
+        self.tokens = self.after(there, self.at);
     }
 
     /// One unit was wanted, and not to be had.
@@ -302,7 +316,7 @@
     /// Whether nothing of it is in use and nothing was wanted for so long.
     pub fn rests(&mut self, now: Moment, so_long: Span) -> bool {
         self.settle(now);
-        let idle = self.in_hand == 0 && self.charged.is_empty() && self.until.is_none();
+        let idle = self.in_hand == 0 && self.until.is_none();
         idle && self.before.is_empty() && now.since(self.used) > so_long
     }
 }
