--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod signed;
 pub mod simulated;
 pub mod stand_in;
+pub mod ways;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 use clap::{Args, Parser, Subcommand};
 use tindoor_lab::called::{self, Plan};
 use tindoor_lab::figures::Figures;
+use tindoor_lab::ways::Way;
 use tindoor_lab::{budgets, choices, demo, policy, signed, simulated};
 
 /// Experiments on loopback with stand-ins; each ends with 1 where a rule was broken.
@@ -117,6 +118,9 @@
         /// Takes one guard out: lease, staged, compare; with a budget lapse, epoch, returned, burst, wakes, floor.
         #[arg(long)]
         without: Option<String>,
+        /// By a simple way in place of the fleet's own: told, two-phase.
+        #[arg(long)]
+        way: Option<String>,
         /// Divides so many fills by the origin a second among the routers.
         #[arg(long)]
         budget: Option<f64>,
@@ -183,8 +187,8 @@
                 }),
             )
         }
-        Experiment::Simulated { common, days, routers, faults, without, budget } => {
-            let figures = simulated::run(&simulated::Plan {
+        Experiment::Simulated { common, days, routers, faults, without, way, budget } => {
+            let plan = simulated::Plan {
                 seed: common.seed,
                 seconds: common.seconds,
                 days,
@@ -192,7 +196,13 @@
                 faults,
                 without,
                 budget,
-            });
+            };
+            let figures = match way.as_deref() {
+                None => simulated::run(&plan),
+                Some("told") => simulated::simple(&plan, Way::Told),
+                Some("two-phase") => simulated::simple(&plan, Way::TwoPhase),
+                Some(other) => Err(anyhow::anyhow!("no such way: {other}; there are told, two-phase")),
+            };
             (common, figures)
         }
         Experiment::Memory { common, streams, connections } => {
--- a/crates/lab/src/simulated.rs
+++ b/crates/lab/src/simulated.rs
@@ -10,6 +10,7 @@
 use tindoor_council::Guards;
 
 use crate::figures::Figures;
+use crate::ways::{self, Way};
 use crate::world::{Came, Day, FAULTS, play};
 
 pub struct Plan {
@@ -113,6 +114,27 @@
     Ok(figures)
 }
 
+/// The same days by a simple way.
+pub fn simple(plan: &Plan, way: Way) -> Result<Figures> {
+    let mut first = Day::new(plan.seed, plan.routers);
+    first.faults = named(&plan.faults, FAULTS)?;
+    first.lasts = Span::secs(plan.seconds as f64);
+    let came: Vec<ways::Came> =
+        (0..plan.days).map(|nth| ways::play(&Day { seed: plan.seed + nth, ..first.clone() }, way)).collect();
+    let sum = |what: fn(&ways::Came) -> u64| came.iter().map(what).sum::<u64>();
+    let mut figures = Figures { views: sum(|came| came.views), ..Figures::default() };
+    figures.rules_broken = sum(|came| came.mixed);
+    let more: Vec<(&str, Value)> = vec![
+        ("days", json!(plan.days)),
+        ("changes", json!(sum(|came| came.changes))),
+        ("took_hold", json!(sum(|came| came.took_hold))),
+        ("mixed_views", json!(sum(|came| came.mixed))),
+        ("apart_at_end", json!(sum(|came| came.apart_at_end))),
+    ];
+    figures.more.extend(more.into_iter().map(|(name, value)| (name.to_string(), value)));
+    Ok(figures)
+}
+
 /// How much of what there was in calm times was used.
 fn used(came: &[(u64, Came)]) -> f64 {
     let [filled, allowed] = [|came: &Came| came.filled, |came: &Came| came.allowed]
--- a/crates/lab/tests/simulated.rs
+++ b/crates/lab/tests/simulated.rs
@@ -1,6 +1,7 @@
 //! Simulated days of a fleet: the parts that agree and take leases, under every fault, in virtual time.
 
-use tindoor_lab::simulated::{Plan, run};
+use tindoor_lab::simulated::{Plan, run, simple};
+use tindoor_lab::ways::Way;
 
 fn days(
     seed: u64,
@@ -92,3 +93,13 @@
         assert!(broken, "without {guard} nothing was broken in 80 days");
     }
 }
+
+#[test]
+fn the_simple_ways_have_views_by_two_policies_under_the_same_faults() {
+    let faults = "drop,delay,oneway,split,kill,pause".to_string();
+    let plan = Plan { seed: 1, seconds: 25, days: 10, routers: 7, faults, without: None, budget: None };
+    let mixed = |way| simple(&plan, way).expect("a plan that can be run").more["mixed_views"].as_u64();
+    let [told, two_phase] = [Way::Told, Way::TwoPhase].map(mixed);
+    assert!(told > two_phase && two_phase > Some(0), "{told:?} {two_phase:?}");
+    assert_eq!(run(&plan).expect("a plan that can be run").rules_broken, 0);
+}
