--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod figures;
 pub mod fleet;
 pub mod peer;
+pub mod plots;
 pub mod policy;
 pub mod proxy;
 pub mod relay;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,7 +7,7 @@
 use tindoor_lab::called::{self, Plan};
 use tindoor_lab::figures::Figures;
 use tindoor_lab::ways::Way;
-use tindoor_lab::{budgets, choices, demo, policy, signed, simulated};
+use tindoor_lab::{budgets, choices, demo, plots, policy, signed, simulated};
 
 /// Experiments on loopback with stand-ins; each ends with 1 where a rule was broken.
 #[derive(Parser)]
@@ -125,6 +125,13 @@
         #[arg(long)]
         budget: Option<f64>,
     },
+    /// Plots of simulated days, as SVG.
+    Plots {
+        #[command(flatten)]
+        common: Common,
+        #[arg(long, default_value = "docs/plots")]
+        out: std::path::PathBuf,
+    },
     /// Memory of the router with calls held open.
     Memory {
         #[command(flatten)]
@@ -205,6 +212,13 @@
             };
             (common, figures)
         }
+        Experiment::Plots { common, out } => {
+            let figures = plots::draw(common.seed, &out).map(|drawn| {
+                let more = drawn.into_iter().map(|(name, lines)| (name, serde_json::json!(lines)));
+                Figures { more: more.collect(), ..Figures::default() }
+            });
+            (common, figures)
+        }
         Experiment::Memory { common, streams, connections } => {
             (common, choices::memory(streams, connections))
         }
