--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -179,9 +179,10 @@
             }
         };
         drop(queue);
+        // Kept before it goes: what its receiver does with it comes after it, however long this thread waits.
+        went_on(&whole);
         if onward.write_all(&whole).is_err() {
             return;
         }
-        went_on(&whole);
     }
 }
