Budgets: turns move, strangers are lent nothing, units from before a limit free none

Cause and change: - units fewer than routers: the same two of five had both for ever (a story: 0, 0, 0, 289, 289), as the turn was counted only after a second without a division, and as rounding on the way left the rest to the last. The turn is told by the time; whole grains are cut after the shares are known (book.rs, divide.rs). - one that is not listed, at a known address, was lent room that nobody could use (node.rs, heard). - a level's unit from before there was a limit made room by its end (purse.rs, ended). - while starts of one name counted twice, a policy in force could be refused for routers_most, and a router stayed out (the router's fleet.rs, objection): now only a change that lowers it is. - a router's own allowance of further dispatches is kept over a change; weights are bounded. - the module asks for its part of a cold member only where sizes are told; plans kept twice and dead code are gone. Stories for the first three and for the bound on who is listed fail with the old lines.

--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -8,7 +8,7 @@
 use tindoor::time::{Moment, Span};
 use tindoor_fleet::{Clocks, FleetTime, Interval, Lease, Listed, Silence, Start, Terms, Word};
 use tindoor_policy::{Agreed, Bounds, Count, Entry, Policy, Proposal, Step, Tally, Version, budgets};
-use tindoor_shares::{Party, Plan};
+use tindoor_shares::Party;
 
 use crate::frames::{Body, Command, Frame, News};
 use crate::lead::Lead;
@@ -182,9 +182,8 @@
     /// The newest generation that has decided a view here: there is no way back.
     used: u64,
     shares: Party,
-    /// Between which generations what is divided was last made out; and what it is.
+    /// Between which generations what is divided was last made out.
     planned: Option<(u64, u64)>,
-    plans: (Plan, Option<Plan>),
     /// Since when this router surely leads, by the last majority that confirmed it, and in which term.
     confirmed: Option<(u64, Moment)>,
     /// How many of the location were passed over as they did not answer, and since when.
@@ -231,7 +230,6 @@
             clocks: Clocks::of(own.start),
             shares: Party::new(own.start, terms, guards.shares, limits.weight),
             planned: None,
-            plans: Default::default(),
             confirmed: None,
             passed: (0, now),
             listed_since: None,
@@ -379,9 +377,8 @@
             return;
         }
         let plan = |version: &Version| budgets::plan(&version.policy);
-        let plans = (going_by.map(plan).unwrap_or_default(), next.map(plan));
-        self.shares.plan(now, &plans.0, plans.1.as_ref());
-        (self.planned, self.plans) = (Some(between), plans);
+        self.shares.plan(now, going_by.map(plan).unwrap_or_default(), next.map(plan));
+        self.planned = Some(between);
     }
 
     /// How many processes may act as listed ones.
@@ -585,12 +582,13 @@
             Body::Command(hops, command @ Command::Join { .. }) => self.bring(now, hops, command),
             _ if !known => {}
             Body::Tell { .. } => self.told(now, from, body),
-            Body::Want(want) => {
-                if let Some(lend) = self.shares.asked(now, from, want).filter(|_| self.agreed.roll.has(from))
-                {
+            // Room that was lent to one that is not listed would be nobody's until it lapsed.
+            Body::Want(want) if self.agreed.roll.has(from) => {
+                if let Some(lend) = self.shares.asked(now, from, want) {
                     self.send(&address, Body::Lend(lend));
                 }
             }
+            Body::Want(_) => {}
             Body::Lend(lend) => self.shares.lent(now, lend),
             Body::Raft(bytes) => {
                 if let Some(voter) = &mut self.voter {
--- /dev/null
+++ b/crates/council/tests/stories.rs
@@ -0,0 +1,126 @@
+//! Stories of one router's part in its fleet: who may come to belong, and who is lent to.
+
+use tindoor::time::{Moment, Span};
+use tindoor_council::{Body, Command, Frame, Guards, Limits, Node, Out, Own};
+use tindoor_fleet::{Listed, Start, Terms};
+use tindoor_policy::Policy;
+use tindoor_policy::budgets::Budget;
+use tindoor_shares::{Ask, Lend, Share, Want};
+
+fn terms() -> Terms {
+    Terms {
+        lease: Span::millis(1000),
+        hold_out: Span::secs(6.0),
+        bound: Span::millis(40),
+        beat: Span::millis(100),
+        drift_ppm: 200,
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::at_micros(10_000_000 + ms * 1000)
+}
+
+/// A fleet of one, whose policy lets so many belong.
+struct Alone {
+    node: Node,
+    now: u64,
+    said: Vec<(String, Body)>,
+}
+
+impl Alone {
+    fn new(routers_most: f64) -> Self {
+        let (name, address) = ("n0".to_string(), "a0".to_string());
+        let own = Own { start: Start(1), name, address, location: 0, seat: Some(1), after: None };
+        let node =
+            Node::start("f", own, terms(), Limits::default(), Guards::default(), Vec::new(), None, 7, at(0));
+        let mut alone = Self { node: node.unwrap(), now: 0, said: Vec::new() };
+        let keys = [
+            ("budget.routers_most", routers_most),
+            ("budget.origin_fills.per_s", 100.0),
+            ("budget.origin_fills.burst", 40.0),
+        ];
+        let policy = Policy::default().with(keys.map(|(key, number)| (key.to_string(), number)));
+        alone.node.found(at(0), policy).unwrap();
+        alone.pass(3000);
+        assert!(alone.node.leads() && alone.node.version(at(3000)).is_ok());
+        alone
+    }
+
+    /// Lets so much time pass; what is written lasts.
+    fn pass(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 20;
+            self.node.tick(at(self.now));
+            self.see();
+        }
+    }
+
+    fn see(&mut self) {
+        while !self.node.is_quiet() {
+            for out in self.node.take_out() {
+                match out {
+                    Out::Write(write) => self.node.wrote(at(self.now), write.number),
+                    Out::Check(version) => self.node.answer(at(self.now), version.generation, None),
+                    Out::Send { to, frame } => self.said.push((to, frame.body)),
+                    Out::Step(_) => {}
+                }
+            }
+        }
+    }
+
+    fn hears(&mut self, from: u64, address: &str, body: Body) {
+        let (fleet, address) = ("f".to_string(), address.to_string());
+        self.node.heard(at(self.now), Frame { fleet, from: Start(from), address, body });
+        self.see();
+    }
+
+    fn join(&mut self, start: u64, name: &str) {
+        let listed = Listed { name: name.into(), address: format!("a{start}"), seat: None, location: 0 };
+        let address = listed.address.clone();
+        self.hears(
+            start,
+            &address,
+            Body::Command(0, Command::Join { start: Start(start), listed, after: None }),
+        );
+        self.pass(500);
+    }
+
+    /// What it lends to one that wants all.
+    fn lends(&mut self, to: u64, address: &str, nonce: u64) -> Option<Share> {
+        self.said.clear();
+        let line = Budget::OriginFills.of(0);
+        let lines =
+            vec![Ask { line, wants: Share::rate(100.0, 40.0), weight: 1, holds: Share::NONE, term: 0 }];
+        self.hears(to, address, Body::Want(Want { nonce, lines }));
+        let lend = self.said.iter().find_map(|(_, body)| match body {
+            Body::Lend(Lend { shares, .. }) => Some(shares[0].share),
+            _ => None,
+        });
+        lend.filter(|share| *share != Share::NONE)
+    }
+}
+
+#[test]
+fn who_is_not_listed_is_lent_nothing_and_costs_nobody_room() {
+    let mut alone = Alone::new(4.0);
+    alone.join(2, "n1");
+    assert_eq!(alone.lends(9, "a2", 1), None, "an earlier start at that address");
+    let listed = alone.lends(2, "a2", 1).expect("one of the fleet is lent to");
+    assert!(listed.flow > 80_000, "all but the floors, as nobody else wants any: {listed:?}");
+}
+
+#[test]
+fn no_more_are_listed_than_floors_are_kept_for_but_a_name_that_is_known_may_start_again() {
+    let mut alone = Alone::new(2.0);
+    alone.join(2, "n1");
+    alone.join(3, "n2");
+    let names = |alone: &Alone| {
+        let listed = alone.node.agreed().roll.listed();
+        listed.iter().map(|(start, listed)| (start.0, listed.name.clone())).collect::<Vec<_>>()
+    };
+    assert_eq!(names(&alone), [(1, "n0".into()), (2, "n1".into())]);
+    alone.join(4, "n1");
+    assert_eq!(names(&alone), [(1, "n0".into()), (4, "n1".into())]);
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -213,6 +213,7 @@
     Filled {
         machine: usize,
         life: u64,
+        spent: Moment,
     },
     Look,
     Shift,
@@ -245,7 +246,7 @@
     /// Since when nothing has ailed the fleet.
     ailed: u64,
     /// Fills that ended while their router was stopped.
-    unheard: Vec<usize>,
+    unheard: Vec<(usize, Moment)>,
 }
 
 /// Plays one day.
@@ -554,12 +555,12 @@
                 }
             }
             Event::Heal => self.cut.clear(),
-            Event::Filled { machine: no, life } => {
+            Event::Filled { machine: no, life, spent } => {
                 self.under_way -= 1;
                 if self.machines[no].life == life {
                     match self.machines[no].paused {
-                        true => self.unheard.push(no),
-                        false => self.with(no, |node, _| node.shares().ended(&[fills_in_hand()])),
+                        true => self.unheard.push((no, spent)),
+                        false => self.with(no, |node, _| node.shares().ended(spent, &[fills_in_hand()])),
                     }
                 }
             }
@@ -610,7 +611,7 @@
         self.under_way += 1;
         self.came.in_hand_over += u64::from(self.under_way as f64 > self.whole("origin_fills.in_hand"));
         let lasts = self.chance.random_range(FILL[0]..FILL[1]);
-        self.at(self.now + lasts, Event::Filled { machine: no, life });
+        self.at(self.now + lasts, Event::Filled { machine: no, life, spent: now });
     }
 
     fn whole(&self, what: &str) -> f64 {
@@ -661,9 +662,9 @@
 
     fn resume(&mut self, no: usize) {
         self.machines[no].paused = false;
-        while let Some(at) = self.unheard.iter().position(|of| *of == no) {
-            self.unheard.swap_remove(at);
-            self.with(no, |node, _| node.shares().ended(&[fills_in_hand()]));
+        while let Some(at) = self.unheard.iter().position(|of| of.0 == no) {
+            let (_, spent) = self.unheard.swap_remove(at);
+            self.with(no, |node, _| node.shares().ended(spent, &[fills_in_hand()]));
         }
         // A view may be the first thing that it sees.
         self.view(no);
@@ -675,7 +676,7 @@
     fn kill(&mut self, no: usize) {
         self.machines[no].node = None;
         self.machines[no].life += 1;
-        self.unheard.retain(|of| *of != no);
+        self.unheard.retain(|of| of.0 != no);
     }
 
     fn propose(&mut self) {
--- a/crates/policy/src/keys.rs
+++ b/crates/policy/src/keys.rs
@@ -231,7 +231,7 @@
         Number,
         [0.0, 10.0],
         InService,
-        "how many a view that was done at its first dispatch allows",
+        "how many a view that was done allows, at its own router",
     ),
     key("budget.looks.per_s", "", Number, RATE, InService, "plain looks at each cache"),
     key("budget.looks.burst", "", Number, RATE, InService, "and how many at a stroke"),
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -182,7 +182,7 @@
     numbers: Vec<u64>,
     /// Whether caches tell fills by the origin from others.
     tells_fills: bool,
-    /// How many further dispatches the views allow that were done at their first.
+    /// How many further dispatches the views allow that were done.
     further: Cell<Option<Allowance>>,
 }
 
@@ -316,8 +316,13 @@
         if let Err(why) = keys::check_change(&own, &version.policy, &self.offerings) {
             return Some(why);
         }
-        let possible = self.node.borrow().possible();
-        if let Some(most) = budgets::routers_most(&version.policy).filter(|most| (possible as u64) > *most) {
+        // Only one that lowers it: what is in force must be gone by, also while starts of one name count twice.
+        let (possible, before) = {
+            let node = self.node.borrow();
+            (node.possible() as u64, node.in_force().and_then(|old| budgets::routers_most(&old.policy)))
+        };
+        let lowers = |most: &u64| before.is_none_or(|before| *most < before) && *most < possible;
+        if let Some(most) = budgets::routers_most(&version.policy).filter(lowers) {
             return Some(format!("budget.routers_most: {most} is below the {possible} that may belong"));
         }
         let most = version.policy.0.get("limit.open_views").copied();
@@ -384,7 +389,9 @@
         if let Some(most) = version.policy.0.get("limit.open_views") {
             self.most_in_hand.set(*most as usize);
         }
-        self.further.set(budgets::per_success(&version.policy).map(Allowance::new));
+        let known = self.further.get();
+        let further = budgets::per_success(&version.policy);
+        self.further.set(further.map(|each| known.map_or(Allowance::new(each), |known| known.by(each))));
         self.adopted.set(version.generation);
         Some(facts)
     }
@@ -508,7 +515,7 @@
         let lines = self.fills(drawn.offering);
         self.shares(|party, now| {
             party.settled(now, drawn.at, &lines, by_origin(end, self.tells_fills));
-            party.ended(&lines[3..]);
+            party.ended(drawn.at, &lines[3..]);
         });
     }
 
--- a/crates/shares/benches/shares.rs
+++ b/crates/shares/benches/shares.rs
@@ -20,7 +20,7 @@
     let whole = Whole { kind: Kind::Rate, share, floor, routers: 4, lag: Span::ZERO };
     let plan = Plan { any: (1..=10).map(|budget| (budget, whole)).collect(), ..Plan::default() };
     let mut party = Party::new(Start(1), terms, Guards::default(), 1);
-    party.plan(Moment::default(), &plan, None);
+    party.plan(Moment::default(), plan, None);
     party
 }
 
--- a/crates/shares/src/book.rs
+++ b/crates/shares/src/book.rs
@@ -44,7 +44,6 @@
     children: BTreeMap<Start, Child>,
     targets: BTreeMap<Start, Share>,
     targeted: Moment,
-    turn: usize,
     /// What came back or lapsed, and when: at the router that leads it is lent again only once a majority has
     /// confirmed that it led after that moment. One deposed meanwhile might else lend what its successor renews.
     cooling: Vec<(Moment, Share)>,
@@ -54,6 +53,9 @@
 const FEW: usize = 64;
 const ANEW: Span = Span::millis(100);
 
+/// How long a turn lasts, where units are fewer than those who want one.
+const TURN: Span = Span::millis(1000);
+
 /// How long one that is silent still counts where room is divided, beyond its share's end.
 const FORGOTTEN: Span = Span::millis(2000);
 
@@ -177,12 +179,10 @@
             let wish = |child: &Child| Wish { wants: of(child.claim.wants), weight: child.claim.weight };
             self.children.values().map(wish).collect()
         };
-        // A turn lasts a while: one that gets a lone burst must have the time to spend it.
-        if now.since(self.targeted) >= Span::millis(1000) {
-            self.turn += 1;
-        }
-        let flows = divide(self.income.flow, &part(|share| share.flow), 1, self.turn);
-        let stocks = divide(self.income.stock, &part(|share| share.stock), whole.grain(), self.turn);
+        // A turn lasts a while: one that gets a lone unit must have the time to spend it.
+        let turn = (now.since(Moment::default()).as_micros() / TURN.as_micros()) as usize;
+        let flows = divide(self.income.flow, &part(|share| share.flow), 1, turn);
+        let stocks = divide(self.income.stock, &part(|share| share.stock), whole.grain(), turn);
         let shares = flows.into_iter().zip(stocks).map(|(flow, stock)| Share { flow, stock });
         self.targets = self.children.keys().copied().zip(shares).collect();
         self.targeted = now;
--- a/crates/shares/src/divide.rs
+++ b/crates/shares/src/divide.rs
@@ -26,10 +26,14 @@
     for at in &order {
         let fair = (u128::from(left) * weight(at) / weights.max(1)) as u64;
         weights -= weight(at);
-        given[*at] = wishes[*at].wants.min(fair) / grain * grain;
+        given[*at] = wishes[*at].wants.min(fair);
         left -= given[*at];
     }
-    // What rounding left, a grain each.
+    // Only now whole grains: rounded on the way, what is left would always be the last ones'.
+    for part in &mut given {
+        left += *part % grain;
+        *part -= *part % grain;
+    }
     let count = order.len().max(1);
     for nth in 0..order.len() {
         let at = order[(nth + turn) % count];
--- a/crates/shares/src/party.rs
+++ b/crates/shares/src/party.rs
@@ -1,7 +1,7 @@
 //! One router's part in dividing the fleet's budgets: its purses, what it lends on, and what it asks of whom it has
 //! its shares from. The router that leads the voters has the whole; all others have what they are lent.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use tindoor::time::{Moment, Span};
@@ -134,6 +134,9 @@
 const LINES: usize = 1024;
 const ASKERS: usize = 8192;
 
+/// The most that one counts, so that sums stay within their numbers.
+const HEAVIEST: u64 = 1 << 40;
+
 /// How long a line is kept that nobody wants anything of.
 const RESTS: Span = Span::millis(30_000);
 
@@ -157,15 +160,9 @@
     }
 
     /// What holds at this router now, and what will.
-    pub fn plan(&mut self, now: Moment, plan: &Plan, next: Option<&Plan>) {
-        if self.next.as_ref() != next {
-            self.next = next.cloned();
-        }
-        if self.plan == *plan {
-            return;
-        }
-        self.plan = plan.clone();
-        self.lines.retain(|line, _| plan.whole(*line).is_some());
+    pub fn plan(&mut self, now: Moment, plan: Plan, next: Option<Plan>) {
+        (self.plan, self.next) = (plan, next);
+        self.lines.retain(|line, _| self.plan.whole(*line).is_some());
         self.cut(now);
     }
 
@@ -245,11 +242,11 @@
         }
     }
 
-    /// What was spent of levels is over.
-    pub fn ended(&mut self, lines: &[Line]) {
+    /// What was spent then of levels is over.
+    pub fn ended(&mut self, spent: Moment, lines: &[Line]) {
         for line in lines {
             if let Some(held) = self.lines.get_mut(line) {
-                held.purse.ended();
+                held.purse.ended(spent);
             }
         }
     }
@@ -288,12 +285,8 @@
         lead.confirmed = lead.confirmed.max(confirmed);
         // Whoever led before was confirmed before this one was elected: what it lent has lapsed a lease later.
         lead.open = lead.open.or(confirmed.map(|confirmed| confirmed + wait));
-        let Some(until) = lead.confirmed.map(|confirmed| confirmed + self.terms.lease) else { return };
-        let until = until - self.terms.drift(self.terms.lease);
         let lines: Vec<Line> = self.lines.keys().copied().collect();
-        for line in lines {
-            self.earn(line, until);
-        }
+        lines.into_iter().for_each(|line| self.earn(line));
         self.settle(now);
     }
 
@@ -302,8 +295,11 @@
         self.terms.lease + self.terms.drift(self.terms.lease)
     }
 
-    /// The leader's income of a line: the whole without the floors, by all that may hold meanwhile.
-    fn earn(&mut self, line: Line, until: Moment) {
+    /// The leader's income of a line, for a lease from when it surely led: the whole without the floors, by all that may
+    /// hold meanwhile.
+    fn earn(&mut self, line: Line) {
+        let Some(confirmed) = self.lead.and_then(|lead| lead.confirmed) else { return };
+        let until = confirmed + self.terms.lease - self.terms.drift(self.terms.lease);
         let floors = self.guards.floor;
         let divided = |whole: &Whole| if floors { whole.divided() } else { whole.share };
         let [now, next] = [Some(&self.plan), self.next.as_ref()].map(|plan| plan.and_then(|p| p.whole(line)));
@@ -380,7 +376,7 @@
             // Where less is to hold soon, what goes on is less by as much: all of it together fits then.
             next.map_or(held, |next| scaled(held, whole.divided(), next.divided()))
         });
-        let claim = Claim { wants: ask.wants, weight: ask.weight.max(1) };
+        let claim = Claim { wants: ask.wants, weight: ask.weight.clamp(1, HEAVIEST) };
         let guarding = Guarding { drift, lapse, returned };
         Some(held.book.ask(now, &whole, who, claim, ask.holds, confirmed, honours, guarding))
     }
@@ -432,7 +428,7 @@
         }
         self.heard.insert(from, (want.nonce, now));
         // What it does not name it neither wants nor holds.
-        let named: Vec<Line> = want.lines.iter().map(|ask| ask.line).collect();
+        let named: BTreeSet<Line> = want.lines.iter().map(|ask| ask.line).collect();
         let unnamed = |(line, held): &(&Line, &Held)| held.book.knows(from) && !named.contains(line);
         let unnamed: Vec<Line> = self.lines.iter().filter(unnamed).map(|(line, _)| *line).collect();
         for line in unnamed {
@@ -444,9 +440,7 @@
             if self.held(now, ask.line).is_none() {
                 continue;
             }
-            if let Some(until) = self.lead.and_then(|lead| Some(lead.confirmed? + self.terms.lease)) {
-                self.earn(ask.line, until - self.terms.drift(self.terms.lease));
-            }
+            self.earn(ask.line);
             if let Some(Given { share, until }) = self.lend(now, from, ask) {
                 shares.push(Lent { line: ask.line, share, left: until.since(now).as_micros() });
             }
--- a/crates/shares/src/purse.rs
+++ b/crates/shares/src/purse.rs
@@ -86,8 +86,9 @@
     /// When each charge was made that may still be given back, and what was there before the first of them, when.
     charged: VecDeque<Moment>,
     base: (f64, Moment),
-    /// Units of a level in hand.
+    /// Units of a level in hand, of those that were spent since it began.
     in_hand: u64,
+    began: Moment,
     /// Higher grants of the last while, for what counts on after it was lowered.
     before: VecDeque<(Moment, u64)>,
     demand: Demand,
@@ -109,6 +110,7 @@
             charged: VecDeque::new(),
             base: (0.0, now),
             in_hand: 0,
+            began: now,
             before: VecDeque::new(),
             demand: Demand::default(),
             used: now,
@@ -157,11 +159,6 @@
         }
     }
 
-    /// When the grant lapses, if there is one.
-    pub fn until(&self) -> Option<Moment> {
-        self.until
-    }
-
     /// The share that may be spent now, the floor in it.
     pub fn share(&self, now: Moment) -> Share {
         let grant = if self.until.is_some_and(|until| now < until) { self.grant } else { Share::NONE };
@@ -233,9 +230,10 @@
         affords
     }
 
-    /// A unit of a level is over.
-    pub fn ended(&mut self) {
-        self.in_hand = self.in_hand.saturating_sub(1);
+    /// A unit of a level is over that was spent then: one from before there was a limit was never counted, and must not
+    /// make room for another.
+    pub fn ended(&mut self, spent: Moment) {
+        self.in_hand -= u64::from(spent >= self.began).min(self.in_hand);
     }
 
     /// What was charged then is over: it was used, or it comes back. Then there is what would be there had it never been
@@ -337,6 +335,11 @@
         Self { each, has: KEPT }
     }
 
+    /// The same, with another number for each success.
+    pub fn by(self, each: f64) -> Self {
+        Self { each, ..self }
+    }
+
     pub fn affords(&self) -> bool {
         self.has >= 1.0
     }
--- a/crates/shares/tests/stories.rs
+++ b/crates/shares/tests/stories.rs
@@ -32,7 +32,7 @@
 
 fn party(no: u64, plan: &Plan, guards: Guards) -> Party {
     let mut party = Party::new(Start(no), terms(), guards, 1);
-    party.plan(at(0), plan, None);
+    party.plan(at(0), plan.clone(), None);
     party.floors(at(0), true);
     party
 }
@@ -171,7 +171,7 @@
 fn a_lowered_whole_is_what_is_lent_from_its_decision_on() {
     let [mut leader, mut other] = two(Guards::default());
     let (old, new) = (plan(rate(100.0, 20.0)), plan(rate(40.0, 20.0)));
-    leader.plan(at(3000), &old, Some(&new));
+    leader.plan(at(3000), old, Some(new));
     for ms in (3100..4300).step_by(100) {
         wants(&mut leader, ms, ms + 100);
         wants(&mut other, ms, ms + 100);
@@ -196,10 +196,77 @@
     assert_eq!((0..12).filter(|_| purse.spend(at(1))).count(), 8);
     purse.grant(at(2), Share::level(2.0), at(1000));
     assert_eq!(purse.holds(at(3)), Share::level(8.0), "until they end");
-    (0..7).for_each(|_| purse.ended());
+    (0..7).for_each(|_| purse.ended(at(1)));
     assert_eq!(purse.holds(at(4)), Share::level(2.0));
 }
 
+#[test]
+fn what_was_in_hand_before_there_was_a_limit_makes_no_room_by_its_end() {
+    let whole = Whole {
+        kind: Kind::Level,
+        share: Share::level(10.0),
+        floor: Share::NONE,
+        routers: 4,
+        lag: Span::secs(1.0),
+    };
+    let mut purse = Purse::new(whole, at(100));
+    purse.grant(at(100), Share::level(2.0), at(1000));
+    assert_eq!((0..5).filter(|_| purse.spend(at(101))).count(), 2);
+    // Three that began before the limit, and were not counted, end.
+    (0..3).for_each(|_| purse.ended(at(50)));
+    assert!(!purse.spend(at(102)));
+    purse.ended(at(101));
+    assert!(purse.spend(at(103)));
+}
+
+#[test]
+fn where_units_are_fewer_than_those_who_want_one_each_has_its_turn() {
+    let whole = Whole {
+        kind: Kind::Level,
+        share: Share::level(2.0),
+        floor: Share::NONE,
+        routers: 8,
+        lag: Span::millis(10),
+    };
+    let plan = plan(whole);
+    let mut parties: Vec<Party> = (1..=5).map(|no| party(no, &plan, Guards::default())).collect();
+    let (mut had, mut most) = ([0; 5], 0);
+    for ms in (0..30_000).step_by(100) {
+        let mut units = 0;
+        for no in 0..5 {
+            parties[no].refused(at(ms), &[LINE]);
+            if no > 0 {
+                let [leader, other] = parties.get_disjoint_mut([0, no]).unwrap();
+                exchange(leader, other, no as u64 + 1, ms);
+            }
+            let own = share(&mut parties[no], ms + 2).stock / UNIT;
+            had[no] += own;
+            units += own;
+        }
+        most = most.max(units);
+    }
+    assert!(had.iter().all(|had| *had > 0) && most <= 2, "{had:?}, {most} at once");
+}
+
+#[test]
+fn what_draws_on_several_lines_draws_on_all_or_none() {
+    let (one, other) = (LINE, Line { budget: 2, of: 7 });
+    let plan = Plan { any: [(1, rate(100.0, 20.0)), (2, rate(100.0, 8.0))].into(), ..Plan::default() };
+    let mut leader = party(1, &plan, Guards::default());
+    for ms in (0..4000).step_by(100) {
+        for ms in (ms..ms + 100).step_by(5) {
+            leader.spend(at(ms), &[one, other]);
+        }
+        leader.leads(at(ms + 100), 1, Some(at(ms + 100)));
+    }
+    // The narrower one has lent all of it; the wider one has what it did not spend beside it.
+    let both = (0..50).filter(|_| leader.spend(at(4500), &[one, other])).count();
+    let rest = (0..50).filter(|_| leader.spend(at(4500), &[one])).count();
+    assert!(both > 0 && rest > 0, "{both} of both, {rest} more of one");
+    // What is not limited costs nothing and is always to be had.
+    assert!((0..50).all(|_| leader.spend(at(4500), &[Line { budget: 9, of: 0 }])));
+}
+
 #[test]
 fn a_part_counts_for_as_long_as_it_is_reckoned_over() {
     let share = |part: u64| Share { flow: 0, stock: part };
--- a/src/control.rs
+++ b/src/control.rs
@@ -553,12 +553,11 @@
             Tier::Parent => ("parent_multiple", self.pace(&self.fills), asked * 0.05, "routers"),
             _ => ("cold_multiple", self.pace(&self.served), asked * 0.5, "routers_here"),
         };
-        let since = self.now - self.span("warm_within", Span::secs(15.0)) * 2.0;
         let size = f64::from(member.listed.size);
-        let part = size / self.size(member.tier, since);
-        let own = self.host.part(member.listed.stable, member.tier == Tier::Parent);
+        let part = size / self.size(member.tier, self.now - self.span("warm_within", Span::secs(15.0)) * 2.0);
+        let own = || self.host.part(member.listed.stable, member.tier == Tier::Parent);
         let bears = match self.fact("size_told", 0.0) > 0.0 {
-            true => own.map_or_else(|| size / self.fact(routers, 1.0).max(1.0), |own| size * own),
+            true => own().map_or_else(|| size / self.fact(routers, 1.0).max(1.0), |own| size * own),
             false => done.max(least) * part,
         };
         let window = self.span("cold_window", Span::secs(1.0));
--- a/src/host.rs
+++ b/src/host.rs
@@ -181,7 +181,7 @@
     /// Ask to be sent the list and its changes.
     fn subscribe(&mut self);
 
-    /// Whether a fill by the origin is to be had now of what all routers share; where nothing is shared, it is.
+    /// Whether a fill by the origin is to be had now of what all routers share; where nothing is, it is.
     fn affords_fill(&self, _offering: u16) -> bool {
         true
     }
@@ -191,7 +191,7 @@
         true
     }
 
-    /// This router's part of what a cold cache, or parent, bears; none where it goes by numbers told at the start.
+    /// This router's part of what a cold cache, or parent, bears; none where it goes by numbers of the start.
     fn part(&self, _stable: u64, _parent: bool) -> Option<f64> {
         None
     }
