--- a/crates/lab/src/several.rs
+++ b/crates/lab/src/several.rs
@@ -21,6 +21,24 @@
 use crate::simulated::named;
 use crate::stand_in::{Client, Reply, Router, Start, call, configuration, frame};
 
+/// Faults that any experiment may ask for; each has others of its own beside them.
+pub const FAULTS: &[&str] = &[
+    "drop",
+    "delay",
+    "reorder",
+    "duplicate",
+    "oneway",
+    "split",
+    "island",
+    "voters",
+    "kill",
+    "killmost",
+    "pause",
+    "restart",
+    "leader",
+    "clock",
+];
+
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub seed: u64,
@@ -149,7 +167,7 @@
     /// Starts so many routers and has them be one fleet; how long it took until all were good.
     pub fn begin(
         plan: &Plan,
-        all: &[&str],
+        own_faults: &[&str],
         guards: &[&str],
         fleet: Fleet,
         change: fn(&mut Value),
@@ -158,7 +176,7 @@
         if let Some(guard) = &plan.without {
             known_guard(guard, guards)?;
         }
-        let faults = named(&plan.faults, all)?;
+        let faults = named(&plan.faults, &[FAULTS, own_faults].concat())?;
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let own = format!("tindoor-fleet-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let root = std::env::temp_dir().join(own);
