Budgets: what a dispatch draws on and what comes back is told without sockets, with stories

Cause: lines of a draw, whether an end may have filled, and the bound on routers were decided in the router's adapter, seen by no story; each spending settled its purses twice; a draw answered by an option in an option. Change: Place and too_few in crates/policy, a charge after one look, one plain Drawn; keys of budgets by one declaration.

--- a/crates/desk/src/desk.rs
+++ b/crates/desk/src/desk.rs
@@ -134,7 +134,7 @@
     sent: u16,
     /// The caches and sources of its dispatches: their numbers stay theirs for as long.
     names: Vec<CacheNo>,
-    /// What each dispatch drew on that routers share, where they do.
+    /// What each dispatch drew on that routers share and may come back, where they do.
     drawn: Vec<Option<Drawn>>,
 }
 
@@ -260,9 +260,9 @@
     fn draw(&mut self, view: ViewNo, draw: Draw) -> bool {
         let Some(gate) = &self.gate else { return true };
         let Some(drawn) = gate.draw(&draw) else { return false };
+        // The dispatch that is sent next has this place.
         if let Some(Some(open)) = self.slots.get_mut(view.0 as usize) {
-            open.drawn.resize(usize::from(open.sent), None);
-            open.drawn.push(drawn);
+            open.drawn.push(Some(drawn).filter(|drawn| drawn.fills));
         }
         true
     }
@@ -280,19 +280,13 @@
     /// A view ended that was taken under that generation.
     fn ended(&self, generation: u64, offering: u16, done: bool, took: Duration);
     /// Whether a fill by the origin is to be had of what all share.
-    fn affords_fill(&self, _offering: u16) -> bool {
-        true
-    }
-    /// Draws on what all share for one dispatch; none where it is not to be had. Inside, what can be given back.
-    fn draw(&self, _draw: &Draw) -> Option<Option<Drawn>> {
-        Some(None)
-    }
-    /// A dispatch ended that drew on it, and how.
-    fn settle(&self, _drawn: Drawn, _end: (Verdict, Note)) {}
-    /// This router's part of what a cold cache, or parent, bears.
-    fn part(&self, _stable: u64, _parent: bool) -> Option<f64> {
-        None
-    }
+    fn affords_fill(&self, offering: u16) -> bool;
+    /// Draws on what all share for one dispatch; none where it is not to be had.
+    fn draw(&self, draw: &Draw) -> Option<Drawn>;
+    /// A dispatch ended that drew on fills, and how.
+    fn settle(&self, drawn: Drawn, end: (Verdict, Note));
+    /// This router's part of what a cold cache, or parent, bears; none where that is not divided.
+    fn part(&self, stable: u64, parent: bool) -> Option<f64>;
 }
 
 /// What one dispatch drew on, as whoever keeps the account knows it again.
@@ -300,6 +294,7 @@
 pub struct Drawn {
     pub at: Moment,
     pub offering: u16,
+    pub fills: bool,
 }
 
 /// A view may be taken.
--- a/crates/policy/src/budgets.rs
+++ b/crates/policy/src/budgets.rs
@@ -1,5 +1,6 @@
 //! The budgets that a policy declares, as what is divided among the routers.
 
+use tindoor::host::{Draw, Note, Verdict};
 use tindoor::time::Span;
 use tindoor_shares::{Kind, Line, Plan, Share, UNIT, Whole};
 
@@ -32,9 +33,7 @@
     pub fn of(self, of: u64) -> Line {
         Line { budget: self as u16, of }
     }
-}
 
-impl Budget {
     /// The name of a line's budget, as the policy's keys have it.
     pub fn name(line: Line) -> &'static str {
         const NAMES: [&str; 10] = [
@@ -59,6 +58,57 @@
     name.bytes().fold(0xcbf2_9ce4_8422_2325, mix)
 }
 
+/// Where a router stands, for what its dispatches draw on.
+#[derive(Clone, Debug)]
+pub struct Place {
+    location: u64,
+    /// By offering.
+    numbers: Vec<u64>,
+    /// Whether caches tell fills by the origin from others.
+    tells_fills: bool,
+}
+
+impl Place {
+    pub fn new(location: u64, offerings: &[String], tells_fills: bool) -> Self {
+        Self { location, numbers: offerings.iter().map(|name| number(name)).collect(), tells_fills }
+    }
+
+    /// All lines that a fill by the origin draws on; the last is the level, the others are rates.
+    pub fn fills(&self, offering: u16) -> [Line; 4] {
+        let number = self.numbers.get(usize::from(offering)).copied().unwrap_or_default();
+        [
+            Budget::OriginFills.of(0),
+            Budget::LocationFills.of(self.location),
+            Budget::OfferingFills.of(number),
+            Budget::FillsInHand.of(0),
+        ]
+    }
+
+    /// All lines that a dispatch draws on, and how many they are: kept in place, as it is on the path of a view.
+    pub fn draws(&self, draw: &Draw) -> ([Line; 6], usize) {
+        let fills = self.fills(draw.offering).map(|line| draw.fills.then_some(line));
+        let look = draw.look.then(|| Budget::Looks.of(draw.cache));
+        let further = draw.further.then(|| Budget::Further.of(0));
+        let (mut lines, mut count) = ([Line::default(); 6], 0);
+        for line in fills.into_iter().chain([look, further]).flatten() {
+            lines[count] = line;
+            count += 1;
+        }
+        (lines, count)
+    }
+
+    /// Whether the origin was asked for what a dispatch brought, as far as its end tells: what may have been counts.
+    pub fn by_origin(&self, (verdict, note): (Verdict, Note)) -> bool {
+        match (verdict, note) {
+            (_, Note::OriginFailed) => true,
+            (Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss, _) => false,
+            (Verdict::Done, Note::Hit | Note::OldCopy | Note::Joined) => false,
+            (Verdict::Done, Note::Filled) => !self.tells_fills,
+            _ => true,
+        }
+    }
+}
+
 /// The part of a whole that is kept for floors where the policy says nothing.
 const FLOOR_PART: f64 = 0.1;
 
@@ -67,7 +117,16 @@
     policy.0.get("budget.routers_most").map(|most| *most as u64)
 }
 
-/// How many further dispatches a view that was done at its first one allows, at the router that has done it.
+/// Why the second policy can't follow the first while so many processes may act: each has a floor. What does not lower
+/// the bound is gone by in any case, also while starts of one name count twice.
+pub fn too_few(from: Option<&Policy>, to: &Policy, possible: u64) -> Option<String> {
+    let before = from.and_then(routers_most);
+    let lowers = |most: &u64| before.is_none_or(|before| *most < before) && *most < possible;
+    let most = routers_most(to).filter(lowers)?;
+    Some(format!("budget.routers_most: {most} is below the {possible} that may belong"))
+}
+
+/// How many further dispatches a view that was done allows, at the router that has done it.
 pub fn per_success(policy: &Policy) -> Option<f64> {
     policy.0.get("budget.further.per_success").copied()
 }
--- a/crates/policy/src/keys.rs
+++ b/crates/policy/src/keys.rs
@@ -48,6 +48,11 @@
     Key { name, fact, unit, least, most, when, what }
 }
 
+/// What is divided among routers: not the module's, and changed in service.
+const fn budget(name: &'static str, unit: Unit, bounds: [f64; 2], what: &'static str) -> Key {
+    key(name, "", unit, bounds, When::InService, what)
+}
+
 const HOUR: f64 = 3_600_000.0;
 const FLAG: [f64; 2] = [0.0, 1.0];
 const RATE: [f64; 2] = [0.0, 1e6];
@@ -207,44 +212,38 @@
         AtStart,
         "in which a purge holds: calls are bounded by it",
     ),
-    key(
+    budget(
         "budget.routers_most",
-        "",
         Count,
         [1.0, 8192.0],
-        InService,
         "routers that may belong: no more are listed, and each has a floor",
     ),
-    key("budget.floor_part", "", Number, [0.0, 0.5], InService, "the part of each whole that floors are"),
-    key("budget.origin_fills.per_s", "", Number, RATE, InService, "fills by the origin, of the whole fleet"),
-    key("budget.origin_fills.burst", "", Number, RATE, InService, "and how many at a stroke"),
-    key("budget.origin_fills.in_hand", "", Count, RATE, InService, "fills by the origin under way at once"),
-    key("budget.location_fills.per_s", "", Number, RATE, InService, "the same of each location, within it"),
-    key("budget.location_fills.burst", "", Number, RATE, InService, "and how many at a stroke"),
-    key("offering.*.origin_fills_per_s", "", Number, RATE, InService, "the same of an offering, within it"),
-    key("offering.*.origin_fills_burst", "", Number, RATE, InService, "and how many at a stroke"),
-    key("budget.further.per_s", "", Number, RATE, InService, "dispatches after one that failed"),
-    key("budget.further.burst", "", Number, RATE, InService, "and how many at a stroke"),
-    key(
+    budget("budget.floor_part", Number, [0.0, 0.5], "the part of each whole that floors are"),
+    budget("budget.origin_fills.per_s", Number, RATE, "fills by the origin, of the whole fleet"),
+    budget("budget.origin_fills.burst", Number, RATE, "and how many at a stroke"),
+    budget("budget.origin_fills.in_hand", Count, RATE, "fills by the origin under way at once"),
+    budget("budget.location_fills.per_s", Number, RATE, "the same of each location, within it"),
+    budget("budget.location_fills.burst", Number, RATE, "and how many at a stroke"),
+    budget("offering.*.origin_fills_per_s", Number, RATE, "the same of an offering, within it"),
+    budget("offering.*.origin_fills_burst", Number, RATE, "and how many at a stroke"),
+    budget("budget.further.per_s", Number, RATE, "dispatches after one that failed"),
+    budget("budget.further.burst", Number, RATE, "and how many at a stroke"),
+    budget(
         "budget.further.per_success",
-        "",
         Number,
         [0.0, 10.0],
-        InService,
         "how many a view that was done allows, at its own router",
     ),
-    key("budget.looks.per_s", "", Number, RATE, InService, "plain looks at each cache"),
-    key("budget.looks.burst", "", Number, RATE, InService, "and how many at a stroke"),
-    key("budget.connections.per_s", "", Number, RATE, InService, "new connections to each cache"),
-    key("budget.connections.burst", "", Number, RATE, InService, "and how many at a stroke"),
-    key("budget.accounts.per_s", "", Number, RATE, InService, "views of each account"),
-    key("budget.accounts.burst", "", Number, RATE, InService, "and how many at a stroke"),
-    key(
+    budget("budget.looks.per_s", Number, RATE, "plain looks at each cache"),
+    budget("budget.looks.burst", Number, RATE, "and how many at a stroke"),
+    budget("budget.connections.per_s", Number, RATE, "new connections to each cache"),
+    budget("budget.connections.burst", Number, RATE, "and how many at a stroke"),
+    budget("budget.accounts.per_s", Number, RATE, "views of each account"),
+    budget("budget.accounts.burst", Number, RATE, "and how many at a stroke"),
+    budget(
         "budget.cold_parts",
-        "",
         Flag,
         FLAG,
-        InService,
         "what cold caches and parents bear is divided by who asks, not by numbers told at the start",
     ),
     key("limit.open_views", "", Count, [1.0, 4096.0], InService, "views in hand at once, at each router"),
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -177,11 +177,7 @@
     in_hand: Box<dyn Fn() -> usize>,
     pub most_in_hand: Cell<usize>,
     pinned: bool,
-    /// What names this router's location and its offerings in the lines of budgets.
-    location: u64,
-    numbers: Vec<u64>,
-    /// Whether caches tell fills by the origin from others.
-    tells_fills: bool,
+    place: budgets::Place,
     /// How many further dispatches the views allow that were done.
     further: Cell<Option<Allowance>>,
 }
@@ -245,9 +241,11 @@
             clock,
             peers: Rc::clone(&peers),
             writes,
-            location: u64::from(place.location),
-            numbers: place.offerings.iter().map(|name| budgets::number(name)).collect(),
-            tells_fills: place.facts.get("notes").is_some_and(|notes| notes.word() == "all"),
+            place: budgets::Place::new(
+                u64::from(place.location),
+                &place.offerings,
+                place.facts.get("notes").is_some_and(|notes| notes.word() == "all"),
+            ),
             further: Cell::new(None),
             facts: place.facts,
             offerings: place.offerings,
@@ -316,14 +314,13 @@
         if let Err(why) = keys::check_change(&own, &version.policy, &self.offerings) {
             return Some(why);
         }
-        // Only one that lowers it: what is in force must be gone by, also while starts of one name count twice.
-        let (possible, before) = {
+        let too_few = {
             let node = self.node.borrow();
-            (node.possible() as u64, node.in_force().and_then(|old| budgets::routers_most(&old.policy)))
+            let old = node.in_force().map(|old| &*old.policy);
+            budgets::too_few(old, &version.policy, node.possible() as u64)
         };
-        let lowers = |most: &u64| before.is_none_or(|before| *most < before) && *most < possible;
-        if let Some(most) = budgets::routers_most(&version.policy).filter(lowers) {
-            return Some(format!("budget.routers_most: {most} is below the {possible} that may belong"));
+        if too_few.is_some() {
+            return too_few;
         }
         let most = version.policy.0.get("limit.open_views").copied();
         let in_hand = (self.in_hand)();
@@ -407,17 +404,6 @@
         what(node.shares(), now)
     }
 
-    /// All lines that a fill by the origin draws on.
-    fn fills(&self, offering: u16) -> [Line; 4] {
-        let number = self.numbers.get(usize::from(offering)).copied().unwrap_or_default();
-        [
-            Budget::OriginFills.of(0),
-            Budget::LocationFills.of(self.location),
-            Budget::OfferingFills.of(number),
-            Budget::FillsInHand.of(0),
-        ]
-    }
-
     /// Whether a new connection to that cache may be made.
     pub fn may_connect(&self, id: &str) -> bool {
         self.shares(|party, now| party.spend(now, &[Budget::Connections.of(budgets::number(id))]))
@@ -429,17 +415,6 @@
     }
 }
 
-/// Whether the origin was asked for what a dispatch brought, as far as its end tells.
-fn by_origin((verdict, note): (Verdict, Note), told: bool) -> bool {
-    match (verdict, note) {
-        (Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss, Note::OriginFailed) => true,
-        (Verdict::Full | Verdict::Unreachable | Verdict::Moot | Verdict::Miss, _) => false,
-        (Verdict::Done, Note::Hit | Note::OldCopy | Note::Joined) => false,
-        (Verdict::Done, Note::Filled) => !told,
-        _ => true,
-    }
-}
-
 impl Gate for Fleet {
     fn admits(&self, account: u64) -> std::result::Result<Admitted, Span> {
         let _whole = Whole;
@@ -474,32 +449,18 @@
     }
 
     fn affords_fill(&self, offering: u16) -> bool {
-        self.shares(|party, now| party.affords(now, &self.fills(offering)))
+        self.shares(|party, now| party.affords(now, &self.place.fills(offering)))
     }
 
-    fn draw(&self, draw: &Draw) -> Option<Option<Drawn>> {
+    fn draw(&self, draw: &Draw) -> Option<Drawn> {
         let further = self.further.get();
         if draw.further && further.is_some_and(|further| !further.affords()) {
             return None;
         }
-        let mut lines = [Line::default(); 6];
-        let mut count = 0;
-        let mut add = |line: Line| {
-            lines[count] = line;
-            count += 1;
-        };
-        if draw.fills {
-            self.fills(draw.offering).into_iter().for_each(&mut add);
-        }
-        if draw.look {
-            add(Budget::Looks.of(draw.cache));
-        }
-        if draw.further {
-            add(Budget::Further.of(0));
-        }
-        let fills = self.fills(draw.offering);
+        let (lines, count) = self.place.draws(draw);
         let at = self.shares(|party, now| {
             // One that is sent without a fill, as none is to be had, would have wanted it.
+            let fills = self.place.fills(draw.offering);
             if !draw.fills && !draw.further && !party.affords(now, &fills) {
                 party.refused(now, &fills);
             }
@@ -508,13 +469,13 @@
         if draw.further {
             self.further.set(further.map(Allowance::spent));
         }
-        Some(draw.fills.then_some(Drawn { at, offering: draw.offering }))
+        Some(Drawn { at, offering: draw.offering, fills: draw.fills })
     }
 
     fn settle(&self, drawn: Drawn, end: (Verdict, Note)) {
-        let lines = self.fills(drawn.offering);
+        let lines = self.place.fills(drawn.offering);
         self.shares(|party, now| {
-            party.settled(now, drawn.at, &lines, by_origin(end, self.tells_fills));
+            party.settled(now, drawn.at, &lines, self.place.by_origin(end));
             party.ended(drawn.at, &lines[3..]);
         });
     }
--- a/crates/shares/src/party.rs
+++ b/crates/shares/src/party.rs
@@ -217,8 +217,8 @@
             return false;
         }
         for line in lines {
-            if let Some(held) = self.held(now, *line) {
-                held.purse.spend(now);
+            if let Some(held) = self.lines.get_mut(line) {
+                held.purse.charge(now);
             }
         }
         true
--- a/crates/shares/src/purse.rs
+++ b/crates/shares/src/purse.rs
@@ -214,20 +214,29 @@
     /// Spends one unit, if it may.
     pub fn spend(&mut self, now: Moment) -> bool {
         let affords = self.affords(now);
+        if affords {
+            self.charge(now)
+        } else {
+            self.refused(now)
+        }
+        affords
+    }
+
+    /// Spends one unit of which it was just seen that it may be.
+    pub(crate) fn charge(&mut self, now: Moment) {
         self.used = now;
         match self.whole.kind {
-            Kind::Rate if affords => {
+            Kind::Rate => {
                 if self.charged.is_empty() {
                     self.base = (self.tokens, now);
                 }
                 self.tokens -= 1.0;
                 self.charged.push_back(now);
             }
-            Kind::Level if affords => self.in_hand += 1,
-            _ => {}
+            Kind::Level => self.in_hand += 1,
+            Kind::Part => {}
         }
-        self.demand.add(now, 1.0, self.in_hand + u64::from(!affords));
-        affords
+        self.demand.add(now, 1.0, self.in_hand);
     }
 
     /// A unit of a level is over that was spent then: one from before there was a limit was never counted, and must not
--- a/crates/shares/tests/stories.rs
+++ b/crates/shares/tests/stories.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use tindoor::time::{Moment, Span};
 use tindoor_fleet::{Start, Terms};
-use tindoor_shares::{Guards, Kind, Line, Party, Plan, Purse, Share, UNIT, Whole, Wish, divide};
+use tindoor_shares::{Allowance, Guards, Kind, Line, Party, Plan, Purse, Share, UNIT, Whole, Wish, divide};
 
 const LINE: Line = Line { budget: 1, of: 0 };
 
@@ -282,6 +282,21 @@
     assert_eq!((0..9).filter(|_| purse.spend(full + Span::millis(400))).count(), 3);
 }
 
+#[test]
+fn what_is_tried_again_is_bounded_by_what_was_done() {
+    let mut further = Allowance::new(0.5);
+    for _ in 0..10 {
+        assert!(further.affords());
+        further = further.spent();
+    }
+    assert!(!further.affords(), "nothing is done: no more is tried");
+    further = further.filled();
+    assert!(!further.affords() && further.filled().affords());
+    let full = (0..100).fold(further, |further, _| further.filled());
+    assert!(!(0..10).fold(full, |further, _| further.spent()).affords(), "no more is kept than at the start");
+    assert!(further.by(2.0).filled().affords(), "what there was stays, by another number for each");
+}
+
 #[test]
 fn a_start_has_nothing_at_hand() {
     let mut purse = Purse::new(rate(10.0, 20.0), at(0));
