Stories for seven rules of budgets whose loss nothing had seen

Change: a story for each of the others: what is kept lasts to its old end, a start's floor waits for the one before it, a new leader waits for what is in hand, goes on with no more than a lowered whole and not with what was lent on, what another lent costs no room, a charge under another share.

--- a/crates/council/tests/stories.rs
+++ b/crates/council/tests/stories.rs
@@ -42,6 +42,12 @@
         ];
         let policy = Policy::default().with(keys.map(|(key, number)| (key.to_string(), number)));
         alone.node.found(at(0), policy).unwrap();
+        alone
+    }
+
+    /// One that has led for long.
+    fn settled(routers_most: f64) -> Self {
+        let mut alone = Self::new(routers_most);
         alone.pass(3000);
         assert!(alone.node.leads() && alone.node.version(at(3000)).is_ok());
         alone
@@ -104,7 +110,7 @@
 
 #[test]
 fn who_is_not_listed_is_lent_nothing_and_costs_nobody_room() {
-    let mut alone = Alone::new(4.0);
+    let mut alone = Alone::settled(4.0);
     alone.join(2, "n1");
     assert_eq!(alone.lends(9, "a2", 1), None, "an earlier start at that address");
     let listed = alone.lends(2, "a2", 1).expect("one of the fleet is lent to");
@@ -113,7 +119,7 @@
 
 #[test]
 fn no_more_are_listed_than_floors_are_kept_for_but_a_name_that_is_known_may_start_again() {
-    let mut alone = Alone::new(2.0);
+    let mut alone = Alone::settled(2.0);
     alone.join(2, "n1");
     alone.join(3, "n2");
     let names = |alone: &Alone| {
@@ -124,3 +130,24 @@
     alone.join(4, "n1");
     assert_eq!(names(&alone), [(1, "n0".into()), (4, "n1".into())]);
 }
+
+#[test]
+fn a_start_has_no_floor_while_one_before_it_may_still_spend_that() {
+    let mut alone = Alone::new(4.0);
+    let line = Budget::OriginFills.of(0);
+    let mut early = 0;
+    loop {
+        alone.pass(20);
+        let now = at(alone.now);
+        let listed = alone.node.version(now).is_ok();
+        alone.node.shares().refused(now, &[line]);
+        let might = alone.node.shares().might_spend(now);
+        let might = might.iter().find(|known| known.0 == line).map_or(Share::NONE, |known| known.1);
+        if might != Share::NONE {
+            break;
+        }
+        early += u64::from(listed);
+        assert!(alone.now < 10_000, "it has one in the end");
+    }
+    assert!(early * 20 >= 1000, "{} ms after it took views", early * 20);
+}
--- a/crates/shares/tests/stories.rs
+++ b/crates/shares/tests/stories.rs
@@ -3,7 +3,10 @@
 use proptest::prelude::*;
 use tindoor::time::{Moment, Span};
 use tindoor_fleet::{Start, Terms};
-use tindoor_shares::{Allowance, Guards, Kind, Line, Party, Plan, Purse, Share, UNIT, Whole, Wish, divide};
+use tindoor_shares::{
+    Allowance, Book, Claim, Given, Guarding, Guards, Kind, Line, Party, Plan, Purse, Share, UNIT, Whole,
+    Wish, divide,
+};
 
 const LINE: Line = Line { budget: 1, of: 0 };
 
@@ -116,6 +119,133 @@
     assert!(share(&mut stranger, 5900).flow > 45_000);
 }
 
+#[test]
+fn a_new_leader_waits_for_what_is_in_hand_as_well() {
+    let whole = Whole { lag: Span::millis(1000), ..level(10.0) };
+    let plan = plan(whole);
+    let [mut next, mut stranger] = [1, 2].map(|no| party(no, &plan, Guards::default()));
+    let mut lent = |ms: u64| {
+        stranger.refused(at(ms), &[LINE]);
+        next.leads(at(ms), 2, Some(at(ms)));
+        let want = stranger.ask(at(ms)).expect("the last was answered");
+        let lend = next.asked(at(ms), Start(2), want).expect("it is new");
+        stranger.lent(at(ms), lend);
+        share(&mut stranger, ms).stock
+    };
+    // It led from 0 on: a lease later what others were lent has lapsed, and lasts for a second yet where it is in hand.
+    assert_eq!(lent(0), 0);
+    assert_eq!(lent(1800), 0, "a fill of its predecessor's may still be under way");
+    assert!(lent(2100) > 0);
+}
+
+#[test]
+fn what_a_new_leader_goes_on_with_fits_a_lowered_whole() {
+    let (old, new) = (plan(rate(100.0, 20.0)), plan(rate(40.0, 20.0)));
+    let [_, mut other] = two(Guards::default());
+    let before = share(&mut other, 3050).flow;
+    let mut next = party(3, &old, Guards::default());
+    next.plan(at(3000), old, Some(new));
+    next.leads(at(3100), 2, Some(at(3100)));
+    let want = other.ask(at(3100)).expect("nobody was asked");
+    let lend = next.asked(at(3100), Start(2), want).expect("it is new");
+    other.lent(at(3101), lend);
+    let after = share(&mut other, 3101).flow;
+    assert!(after > 0 && after <= before * 40 / 100, "{before} before, {after} after");
+}
+
+/// A leader, one that lends on, and one that it lends to, all past the first lease; both of these want much.
+fn three() -> [Party; 3] {
+    let plan = plan(rate(100.0, 20.0));
+    let [mut leader, mut middle, mut last] = [1, 2, 3].map(|no| party(no, &plan, Guards::default()));
+    for ms in (0..3000).step_by(100) {
+        wants(&mut middle, ms, ms + 100);
+        wants(&mut last, ms, ms + 100);
+        if let Some(want) = last.ask(at(ms + 90)) {
+            let lend = middle.asked(at(ms + 90), Start(3), want).expect("it is new");
+            last.lent(at(ms + 91), lend);
+        }
+        exchange(&mut leader, &mut middle, 2, ms + 100);
+    }
+    [leader, middle, last]
+}
+
+#[test]
+fn one_of_a_location_lends_on_and_goes_on_with_that_when_it_is_cut_off() {
+    let [_, mut middle, mut last] = three();
+    let [a, b] = [share(&mut middle, 3001), share(&mut last, 3001)];
+    assert!(a.flow > 30_000 && b.flow > 30_000, "{a:?} {b:?}");
+    assert!(a.plus(b).within(Share::rate(100.0, 20.0)));
+    // Cut off, the one wants nothing more: what it was lent goes to the other, for as long as it lasts.
+    for ms in (3100..3900).step_by(100) {
+        wants(&mut last, ms - 100, ms);
+        middle.ask(at(ms));
+        if let Some(want) = last.ask(at(ms)) {
+            let lend = middle.asked(at(ms), Start(3), want).expect("it is new");
+            last.lent(at(ms + 1), lend);
+        }
+        let sum = share(&mut middle, ms).plus(share(&mut last, ms + 1));
+        assert!(sum.within(Share::rate(100.0, 20.0)), "{ms}: {sum:?}");
+    }
+    assert_eq!(share(&mut last, 4300), Share { flow: 0, stock: UNIT }, "then its floor is left");
+}
+
+#[test]
+fn a_new_leader_goes_on_with_what_a_leader_lent_and_not_with_what_was_lent_on_of_it() {
+    let [_, mut middle, mut last] = three();
+    let mut next = party(4, &plan(rate(100.0, 20.0)), Guards::default());
+    next.leads(at(3100), 2, Some(at(3100)));
+    let mut lent = Share::NONE;
+    for (party, no) in [(&mut middle, 2), (&mut last, 3)] {
+        let want = party.ask(at(3400)).expect("what was asked before is in vain");
+        let lend = next.asked(at(3400), Start(no), want).expect("it is new");
+        lent = lend.shares.iter().fold(lent, |sum, lent| sum.plus(lent.share));
+    }
+    // The block holds what was lent on of it: both together would be more than the whole.
+    assert!(lent.within(Share::rate(100.0, 16.0)) && lent.flow > 80_000, "{lent:?}");
+}
+
+fn asks(book: &mut Book, ms: u64, who: u64, wants: Share, holds: Share) -> Given {
+    let claim = Claim { wants, weight: 1 };
+    let guarding = Guarding { drift: Span::ZERO, lapse: true, returned: true };
+    book.ask(at(ms), &rate(100.0, 20.0), Start(who), claim, holds, None, None, guarding)
+}
+
+#[test]
+fn what_is_kept_while_others_hold_too_much_lasts_no_longer_than_it_was_to() {
+    let (ten, none) = (Share::rate(10.0, 10.0), Share::NONE);
+    let mut book = Book::default();
+    book.earn(ten.plus(ten), at(1000));
+    assert_eq!(asks(&mut book, 0, 1, ten, none), Given { share: ten, until: at(1000) });
+    assert_eq!(asks(&mut book, 0, 2, ten, none).share, ten);
+    // Half of it is left to lend, and both hold all of that.
+    book.earn(ten, at(1500));
+    let kept = asks(&mut book, 500, 1, ten, ten);
+    assert!(kept.share != none && kept.until == at(1000), "{kept:?}");
+    let other = asks(&mut book, 500, 2, ten, ten);
+    let after = [kept, other].into_iter().filter(|given| given.until > at(1000));
+    let after = after.map(|given| given.share).fold(none, Share::plus);
+    assert!(after.within(ten), "{after:?} of {ten:?} beyond the first end");
+}
+
+#[test]
+fn what_another_has_lent_costs_no_room_here() {
+    let (ten, none) = (Share::rate(10.0, 10.0), Share::NONE);
+    let mut book = Book::default();
+    book.earn(ten, at(1000));
+    assert_eq!(asks(&mut book, 0, 1, none, ten).share, none);
+    assert_eq!(asks(&mut book, 0, 2, ten, none).share, ten);
+}
+
+#[test]
+fn what_was_charged_under_another_share_stays_charged_and_costs_no_more() {
+    let mut purse = Purse::new(rate(10.0, 4.0), at(0));
+    purse.grant(at(0), Share::rate(10.0, 3.0), at(60_000));
+    assert_eq!((0..2).filter(|_| purse.spend(at(2000))).count(), 2);
+    purse.grant(at(2001), Share::rate(10.0, 2.0), at(60_000));
+    purse.settled(at(2002), at(2000), false);
+    assert_eq!((0..9).filter(|_| purse.spend(at(2003))).count(), 2);
+}
+
 #[test]
 fn one_that_slept_past_its_lease_spends_its_floor_alone_before_it_has_asked() {
     let [_, mut other] = two(Guards::default());
