--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -766,7 +766,7 @@
         }
         // One that came to nothing decides nothing, at any router: another may follow.
         if decides.is_some()
-            && !self.agreed.staged.as_ref().is_some_and(|staged| staged.at.is_some())
+            && self.agreed.staged.as_ref().is_none_or(|staged| staged.at.is_none())
             && let Some(lead) = &mut self.lead
         {
             lead.decided.take_if(|generation| Some(*generation) == decides);
