Keys may go, a fleet may be founded like another, views of choosing fronts count on probation

Need: `docs/operators/budgets.md` says that a change that removes a key lifts its limit, and no change could remove one; after an undo of a change that had brought `limit.open_views` a router stayed at the lower bound (`Fleet::adopt` set it only where the policy says one). A fleet that lost most of its voters' folders could only be founded with what files said.

The account of a change on probation has the views of the fronts that only choose as well.

--- a/crates/lab/src/several.rs
+++ b/crates/lab/src/several.rs
@@ -285,7 +285,7 @@
         });
         (0..plan.routers).for_each(|no| world.start(no, None));
         let founded = Instant::now();
-        ask(&world.seats[0].operator, &json!("found")).context("the fleet is founded")?;
+        ask(&world.seats[0].operator, &json!({"found": {}})).context("the fleet is founded")?;
         wait_for(Duration::from_secs(60), "all routers to be good", || {
             (0..plan.routers).all(|no| healthy(&world.seats[no]).unwrap_or(false))
         })?;
--- a/crates/policy/src/keys.rs
+++ b/crates/policy/src/keys.rs
@@ -306,9 +306,8 @@
         if key.when == AtStart {
             return Err(format!("{name}: changes at a start only"));
         }
-        // A budget may go again: then it is not limited.
-        let budget = name.starts_with("budget.") || name.contains(".origin_fills_");
-        if new.is_none() && old.is_some() && !budget {
+        // What the module does not read may go again, as a budget: then nothing is limited by it.
+        if new.is_none() && old.is_some() && !key.fact.is_empty() {
             return Err(format!("{name}: missing, and it was set"));
         }
     }
--- a/crates/policy/src/value.rs
+++ b/crates/policy/src/value.rs
@@ -29,6 +29,18 @@
         new
     }
 
+    /// This one with those names set anew, or gone where there is no number.
+    pub fn changed(&self, changes: impl IntoIterator<Item = (String, Option<f64>)>) -> Self {
+        let mut new = self.clone();
+        for (name, number) in changes {
+            match number {
+                Some(number) => drop(new.0.insert(name, number)),
+                None => drop(new.0.remove(&name)),
+            }
+        }
+        new
+    }
+
     /// Names of which the two do not say the same, with both numbers.
     pub fn differ<'a>(&'a self, other: &'a Self) -> Vec<(&'a str, Option<f64>, Option<f64>)> {
         let mut names: Vec<&str> = self.0.keys().chain(other.0.keys()).map(String::as_str).collect();
--- a/crates/router/src/choices.rs
+++ b/crates/router/src/choices.rs
@@ -10,7 +10,7 @@
 use tindoor::host::{Asked, CacheNo, Note, Verdict, ViewNo};
 use tindoor::time::{Moment, Span};
 use tindoor_calls::{Bounds, Call, Calls, Choice, Figures, Guards, Hands, Report, Say, Serial, Stream, Why};
-use tindoor_desk::{Alarm, Decisions, Dispatch, Id, Ids, Order, Slot};
+use tindoor_desk::{Alarm, Decisions, Dispatch, Id, Ids, Order, Slot, Taken};
 
 /// A view in hand for a proxy.
 struct InHand {
@@ -18,6 +18,8 @@
     slot: Rc<Slot>,
     /// Dispatches that are not yet reported.
     out: Vec<Dispatch>,
+    /// For the account of its end; none once that was made.
+    taken: Option<Taken>,
     _id: Option<Id>,
     _orders: Task<()>,
 }
@@ -71,7 +73,7 @@
         let (no, slot) = choices.decisions.open_view();
         let Call { object, part, group, offering, repeat, left, pass, .. } = *call;
         let asked = Asked { object, part, group, offering, kb: None, repeat, ran, pass };
-        choices.decisions.take(no, asked, left);
+        let taken = choices.decisions.take(no, asked, left);
         let (id, orders) = (choices.ids.take(call.ticket), Rc::clone(&slot));
         let _orders = self.choices.executor.spawn(async move {
             loop {
@@ -79,24 +81,30 @@
                 choices.order(serial, order);
             }
         });
-        self.ends.views.insert(serial, InHand { no, slot, out: Vec::new(), _id: id, _orders });
+        self.ends.views.insert(serial, InHand { no, slot, out: Vec::new(), taken, _id: id, _orders });
     }
 
     fn ended(&mut self, serial: Serial, nth: u16, end: (Verdict, Note), last: bool) {
         let Some(view) = self.ends.views.get_mut(&serial) else { return };
         let Some(at) = view.out.iter().position(|dispatch| dispatch.nth == nth) else { return };
         let dispatch = view.out.swap_remove(at);
+        if end.0 == Verdict::Done {
+            self.choices.decisions.account(view.taken.take(), true);
+        }
         self.choices.decisions.ended(view.no, &dispatch, end, last);
     }
 
     fn left(&mut self, serial: Serial) {
-        if let Some(view) = self.ends.views.get(&serial) {
+        if let Some(view) = self.ends.views.get_mut(&serial) {
+            // Whose client leaves says nothing of a policy.
+            view.taken = None;
             self.choices.decisions.tell(|control| control.left(view.no));
         }
     }
 
     fn close(&mut self, serial: Serial) {
         let Some(view) = self.ends.views.remove(&serial) else { return };
+        self.choices.decisions.account(view.taken, false);
         // What was ordered and never given out is told of as well: else it counts as out for ever.
         let orders = std::iter::from_fn(|| view.slot.take());
         let ordered = orders.filter_map(|order| match order {
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -67,6 +67,9 @@
     Found {
         #[command(flatten)]
         at: At,
+        /// With these numbers in place of its own: what `show` printed, or an object of keys and numbers.
+        #[arg(long)]
+        like: Option<PathBuf>,
     },
     /// How the router stands in its fleet.
     Status {
@@ -99,7 +102,7 @@
         /// The end of a key's name.
         key: Option<String>,
     },
-    /// Propose a change: a JSON object of keys and numbers.
+    /// Propose a change: a JSON object of keys and numbers, or null for a key that is to go.
     Propose {
         #[command(flatten)]
         at: At,
--- a/crates/router/src/council.rs
+++ b/crates/router/src/council.rs
@@ -23,6 +23,9 @@
 use crate::fleet::Fleet;
 use crate::limits::{PeerLimits, within};
 
+/// Keys with their new numbers; none where a key is to go.
+type Changes = std::collections::BTreeMap<String, Option<f64>>;
+
 /// What is asked of a router by its operator.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -31,10 +34,14 @@
     Policy,
     History,
     Shares,
-    Found,
-    /// Numbers in place of those in force; without `from`, made from what is in force.
+    /// With these in place of what it was started with.
+    Found {
+        #[serde(default)]
+        like: Changes,
+    },
+    /// Numbers in place of those in force, none where a key is to go; without `from`, made from what is in force.
     Propose {
-        changes: std::collections::BTreeMap<String, f64>,
+        changes: Changes,
         from: Option<u64>,
         by: String,
         note: String,
@@ -128,9 +135,10 @@
             let line = |(line, own, whole): (Line, Share, Share)| json!({"budget": Budget::name(line), "of": format!("{:x}", line.of), "own": units(own), "whole": units(whole)});
             Ok(Value::Array(fleet.lines().into_iter().map(line).collect()))
         }
-        Ask::Found => {
-            let policy = fleet.first_policy();
-            keys::check(&policy, fleet.offerings())?;
+        Ask::Found { like } => {
+            let own = fleet.first_policy();
+            let policy = own.changed(like);
+            keys::check_change(&own, &policy, fleet.offerings())?;
             fleet
                 .tell(|node, now| node.found(now, policy))
                 .map(|number| json!({"fleet": format!("{number:016x}")}))
@@ -138,7 +146,7 @@
         Ask::Propose { changes, from, by, note } => {
             let (token, in_force) = fleet.tell(|node, _| (node.token(), node.in_force().cloned()));
             let in_force = in_force.ok_or("no fleet is founded yet")?;
-            let policy = in_force.policy.with(changes);
+            let policy = in_force.policy.changed(changes);
             // What can't be right anywhere is said at once; the rest is for all routers to say.
             keys::check_change(&in_force.policy, &policy, fleet.offerings())?;
             let made_from = from.unwrap_or(in_force.generation);
@@ -195,16 +203,21 @@
         Deed::Status { at } => show(&ask(&at.socket, &Ask::Status)?),
         Deed::Shares { at } => show(&ask(&at.socket, &Ask::Shares)?),
         Deed::History { at } => show(&ask(&at.socket, &Ask::History)?),
-        Deed::Found { at } => show(&ask(&at.socket, &Ask::Found)?),
+        Deed::Found { at, like } => {
+            let like = like.as_deref().map(read).transpose()?.unwrap_or_default();
+            show(&ask(&at.socket, &Ask::Found { like })?);
+        }
         Deed::Forget { at, name } => drop(ask(&at.socket, &Ask::Forget { name })?),
         Deed::Withdraw { at, generation } => drop(ask(&at.socket, &Ask::Withdraw { generation })?),
         Deed::Show { at } => show(&ask(&at.socket, &Ask::Policy)?),
         Deed::Diff { at, file } => {
             let value = ask(&at.socket, &Ask::Policy)?;
             let in_force: Policy = serde_json::from_value(value["policy"].clone())?;
-            let new = in_force.with(read(&file)?);
+            let new = in_force.changed(read(&file)?);
+            let said =
+                |number: Option<f64>| number.map_or("not set".to_string(), |number| number.to_string());
             for (name, old, new) in in_force.differ(&new) {
-                println!("{name}: {} -> {}", old.unwrap_or(f64::NAN), new.unwrap_or(f64::NAN));
+                println!("{name}: {} -> {}", said(old), said(new));
             }
         }
         Deed::Propose { at, file, from, note, proposing } => {
@@ -225,10 +238,14 @@
 }
 
 /// Keys to numbers, as JSON.
-fn read(file: &Path) -> Result<std::collections::BTreeMap<String, f64>> {
+fn read(file: &Path) -> Result<Changes> {
     let text = std::fs::read(file).with_context(|| format!("{}", file.display()))?;
-    serde_json::from_slice(&text)
-        .with_context(|| format!("{}: not an object of keys and numbers", file.display()))
+    // What `show` printed has them under a name of their own.
+    let value: Value = serde_json::from_slice(&text).with_context(|| format!("{}", file.display()))?;
+    let keys = if value["policy"].is_object() { value["policy"].clone() } else { value };
+    serde_json::from_value(keys).with_context(|| {
+        format!("{}: not an object of keys and numbers, or null for one that is to go", file.display())
+    })
 }
 
 fn wait(socket: &Path, token: u64, proposing: &Proposing) -> Result<ExitCode> {
--- a/crates/router/src/fleet.rs
+++ b/crates/router/src/fleet.rs
@@ -173,9 +173,10 @@
     /// In-time goals of that generation and the one before it, by offering.
     goals: RefCell<Vec<(u64, Vec<Duration>)>>,
     pause: Span,
-    /// Views in hand, and how many there may be, as the policy says.
+    /// Views in hand, how many there may be as the policy says, and as this router was started with.
     in_hand: Box<dyn Fn() -> usize>,
     most_in_hand: Cell<usize>,
+    open_views: usize,
     pinned: bool,
     place: budgets::Place,
     /// How many further dispatches the views allow that were done.
@@ -254,6 +255,7 @@
             pause: place.pause,
             in_hand: place.in_hand,
             most_in_hand: Cell::new(place.open_views),
+            open_views: place.open_views,
             pinned,
         });
         fleet.tell(|_, _| ());
@@ -397,9 +399,9 @@
         if goals.len() > 8 {
             goals.remove(0);
         }
-        if let Some(most) = version.policy.0.get("limit.open_views") {
-            self.most_in_hand.set(*most as usize);
-        }
+        // Where it says nothing of it any more, as after an undo, the own bound is all there is.
+        let most = version.policy.0.get("limit.open_views").map_or(self.open_views, |most| *most as usize);
+        self.most_in_hand.set(most);
         let known = self.further.get();
         let further = budgets::per_success(&version.policy);
         self.further.set(further.map(|each| known.map_or(Allowance::new(each), |known| known.by(each))));
--- a/crates/router/tests/policy.rs
+++ b/crates/router/tests/policy.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use serde_json::{Value, json};
+use tindoor_lab::peer;
 use tindoor_lab::several::{ask, free};
 use tindoor_lab::stand_in::*;
 
@@ -27,13 +28,14 @@
             "name": "alone", "listen": free(), "votes": true, "operator": operator, "voters": 1, "lease_ms": 200,
             "hold_out_ms": 1000, "clock_bound_ms": 20, "beat_ms": 25, "probation_ms": 50,
         });
-        let start = Start { fronts: Some(json!({ "fleet": fleet })), ..Start::default() };
+        let fronts = json!({ "fleet": fleet, "external_processing": {"listen": "127.0.0.1:0"} });
+        let start = Start { fronts: Some(fronts), ..Start::default() };
         let mut told = configuration(log.address, members);
         // As old as copies may be, or a policy that says it would not stand.
         told["settings"]["family_info"]["gone_everywhere"] = json!(3_600_000_000u64);
         let alone = Self { router: Router::start_with(&told, &start), operator, cache };
         until("the operator to be heard", || alone.operator.exists());
-        ask(&alone.operator, &json!("found")).unwrap();
+        ask(&alone.operator, &json!({"found": {}})).unwrap();
         let mut client = Client::connect(&alone.router);
         until("the router to be good", || client.healthy(1));
         alone
@@ -87,4 +89,16 @@
     let sent = alone.cache.count();
     second.ask(4, "00000000000000aa");
     alone.cache.requests(sent + 1);
+    // And so does its end: a router that went on by the bound of a change that was undone would never know.
+    alone.change(json!({"limit.open_views": null}));
+    let sent = alone.cache.count();
+    second.ask(5, "00000000000000ab");
+    alone.cache.requests(sent + 1);
+}
+
+#[test]
+fn a_bound_of_the_policy_holds_on_the_fronts_that_only_choose() {
+    let alone = Alone::start("bound");
+    alone.change(json!({"limit.open_views": 2}));
+    assert_eq!(peer::hold(alone.router.front("external_processing"), 5), 2);
 }
