--- a/src/control.rs
+++ b/src/control.rs
@@ -542,7 +542,8 @@
     /// the routers that reach it where sizes are told, else put low: what warm members lately did for this
     /// router, over all that are ready or answered within two warm-ups, as one of a lost branch may be listed
     /// first. First tries count in part, for a router just started; repeats swell after a loss and do not.
-    /// Where hundreds share one, what is wanted passes by lot. Could harm where chance has many send at once.
+    /// Where hundreds share one, what is wanted passes by lot, one a window at most: in all half the budget,
+    /// whatever each has of the traffic. Could harm where chance has many send at once.
     fn bears(&self, member: &Member, work: f64, lot: u64) -> bool {
         let warmth = self.warmth(member);
         if warmth >= 1.0 {
@@ -573,6 +574,8 @@
         let seen = self.now.since(member.listed.started.unwrap_or_default()).min(window * 4.0);
         let wanted = drawn(seen).map(|drawn| drawn.1).sum::<f64>() + work;
         let wanted = wanted / (seen.as_secs() + work / first) * window.as_secs();
+        // A rush, which all have at once, shows in one window before it does in four. Half: it costs service.
+        let wanted = wanted.max(0.5 * (drawn(window).map(|drawn| drawn.1).sum::<f64>() + work));
         spent == 0.0 && unit(mix(lot, member.listed.stable)) * wanted < budget * 0.7
     }
 
