Connections of clients end in one way; what crosses a close, the end or a wait is kept

- a call that came as a resting connection was closed reset it, and the rest of a long answer was lost (Client::make_way and end: peeked at in one task, dropped in another).
Also at the end of the process, where connections were dropped by exit.
- main::stop left what lay in buffers, in the backlog and half frames: its account was views and unwritten answers.
- a connect that came up as its call was withdrawn carried the request; a client that takes no answers and closed behind megabytes of calls had further attempts sent on (the reader slept 10 ms for each 128 answers and never came to the close).
- an answer being written was cut when its connection turned out unreadable (the writer was dropped), and calls open there had no answer.
- bytes that trickle from the change log and make no line held it for ever (the silence limit was for each read).
- a start failed while the last instance held the address.
- where the system allows fewer descriptors than stated, idle clients took those for the change log: it was not asked for 60 s.

Now: one close (shut in the step in which nothing is unread, what comes is read and dropped), one account of connections with places kept free, one look at the client right before the first byte, lines of the log bounded in time, the address waited for, descriptors by what the system allows, 30 ms of rest before a connection to a cache is used again. Unit tests moved out of source files; the scripted peers stand in the lab.

--- a/crates/desk/src/life.rs
+++ b/crates/desk/src/life.rs
@@ -21,7 +21,7 @@
     /// Trying again is harmless, best after this long.
     TurnedBack(Option<Span>),
     WrittenOff,
-    /// Nobody waits any more, or the router ends.
+    /// Nobody waits any more, or the router or its connection ends.
     Left,
 }
 
@@ -90,7 +90,7 @@
                 answered = true;
             }
             Happened::Order(Order::Left) => {
-                // Only where the router ends is there somebody to tell.
+                // Only where the router or its connection ends is there somebody to tell.
                 if !answered {
                     hand.answer(Answer::Left);
                 }
--- a/crates/lab/src/stand_in.rs
+++ b/crates/lab/src/stand_in.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Far more than anything here takes, also on a slow machine.
 const LONGEST: Duration = Duration::from_secs(60);
@@ -183,6 +183,74 @@
     }
 }
 
+/// A cache whose queue of connections is full: they neither come up nor fail until it is opened.
+pub struct Stuck {
+    socket: Socket,
+    pub address: SocketAddr,
+    /// Connections that came up, but for those that fill its queue.
+    pub came_up: Watched<usize>,
+    queue: Vec<Socket>,
+}
+
+impl Stuck {
+    pub fn start() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        let fill = |_| {
+            let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            filler.set_nonblocking(true).unwrap();
+            let _ = filler.connect(&address.into());
+            filler
+        };
+        Self { socket, address, came_up: Watched::default(), queue: (0..4).map(fill).collect() }
+    }
+
+    fn filler_addresses(&self) -> Vec<SocketAddr> {
+        let filled = |filler: &Socket| filler.local_addr().ok().and_then(|address| address.as_socket());
+        self.queue.iter().filter_map(filled).collect()
+    }
+
+    /// Waits until the system has begun a connect to it for somebody else than those that fill its queue.
+    pub fn is_connected_to(&self) {
+        const SYN_SENT: &str = "02";
+        let port = |field: &str| u16::from_str_radix(field.split_once(':')?.1, 16).ok();
+        let fillers: Vec<u16> = self.filler_addresses().iter().map(SocketAddr::port).collect();
+        until("a connect to begin", || {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            table.lines().skip(1).any(|line| {
+                let fields: Vec<&str> = line.split_whitespace().collect();
+                let by_other = port(fields[1]).is_some_and(|local| !fillers.contains(&local));
+                by_other && port(fields[2]) == Some(self.address.port()) && fields[3] == SYN_SENT
+            })
+        });
+    }
+
+    /// Takes connections from now on, and answers; gives what it is asked.
+    pub fn open(&self) -> Watched<Vec<String>> {
+        let (asked, socket) = (Watched::<Vec<String>>::default(), self.socket.try_clone().unwrap());
+        let (all, came_up) = (asked.clone(), self.came_up.clone());
+        let fillers = self.filler_addresses();
+        thread::spawn(move || {
+            while let Ok((mut stream, from)) = socket.accept() {
+                if !from.as_socket().is_some_and(|from| fillers.contains(&from)) {
+                    came_up.change(|count| *count += 1);
+                }
+                let all = all.clone();
+                thread::spawn(move || {
+                    let mut read = [0; 4096];
+                    if let Ok(size @ 1..) = stream.read(&mut read) {
+                        all.change(|all| all.push(String::from_utf8_lossy(&read[..size]).into_owned()));
+                        let _ = stream.write_all(&served(b"stuck"));
+                    }
+                });
+            }
+        });
+        asked
+    }
+}
+
 /// The change log: remembers from where it was asked, and says on its connections what the test says.
 pub struct ChangeLog {
     pub address: SocketAddr,
@@ -382,11 +450,7 @@
 
     pub fn start_with(configuration: &Value, start: &Start) -> Self {
         let (mut child, file) = spawn(&configuration.to_string(), start);
-        let (log, lines) = (Watched::<Vec<String>>::default(), BufReader::new(child.stderr.take().unwrap()));
-        let logged = log.clone();
-        thread::spawn(move || {
-            lines.lines().map_while(Result::ok).for_each(|l| logged.change(|log| log.push(l)))
-        });
+        let log = Self::logged(&mut child);
         let begun = Instant::now();
         let address = log.wait("the router to listen", |log| {
             let ended =
@@ -398,6 +462,24 @@
         Self { child, address, log, file }
     }
 
+    /// Starts it with an address of its own, and waits for nothing.
+    pub fn start_at(configuration: &Value, address: SocketAddr) -> Self {
+        let mut configuration = configuration.clone();
+        configuration["listen"] = json!(address.to_string());
+        let (mut child, file) = spawn(&configuration.to_string(), &Start::default());
+        let log = Self::logged(&mut child);
+        Self { child, address, log, file }
+    }
+
+    fn logged(child: &mut Child) -> Watched<Vec<String>> {
+        let (log, lines) = (Watched::<Vec<String>>::default(), BufReader::new(child.stderr.take().unwrap()));
+        let logged = log.clone();
+        thread::spawn(move || {
+            lines.lines().map_while(Result::ok).for_each(|l| logged.change(|log| log.push(l)))
+        });
+        log
+    }
+
     /// Where a front of the fronts file listens.
     pub fn front(&self, key: &str) -> SocketAddr {
         let named = format!("front=\"{key}\"");
@@ -546,6 +628,21 @@
         Self(stream)
     }
 
+    /// One that takes in so few bytes that the rest of a long answer stays with the router's system.
+    pub fn connect_small(router: &Router) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        socket.connect(&router.address.into()).unwrap();
+        let stream: TcpStream = socket.into();
+        stream.set_read_timeout(Some(LONGEST)).unwrap();
+        Self(stream)
+    }
+
+    /// Nothing more comes, and the connection ended in order.
+    pub fn ends_in_order(&mut self) -> bool {
+        matches!(self.0.read(&mut [0]), Ok(0))
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.0.write_all(bytes).unwrap();
     }
--- a/crates/router/src/caches.rs
+++ b/crates/router/src/caches.rs
@@ -298,7 +298,7 @@
     pub async fn exchange(
         &self,
         no: CacheNo,
-        head: impl Fn() -> Option<String>,
+        head: impl AsyncFn() -> Option<String>,
         body: &Bytes,
         budget: &Rc<Budget>,
         sent: &Cell<bool>,
@@ -319,7 +319,7 @@
                 },
             };
             // A connection that came up late must not carry a send past a drain, a purge or its own time.
-            let Some(head) = head() else { return (End::without(Verdict::Moot), None) };
+            let Some(head) = head().await else { return (End::without(Verdict::Moot), None) };
             match link.stream.write(head.as_bytes()).await {
                 // Nothing left here: the cache closed an idle connection at the moment of its use.
                 Err(_) | Ok(0) if reused => continue,
@@ -419,3 +419,7 @@
     let peeked = link.stream.get_ref().peek(&mut [0]);
     peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/caches.rs"]
+mod tests;
--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -103,8 +103,8 @@
     }
 }
 
-/// Reads the configuration from its JSON text.
-pub fn read(text: &[u8]) -> Result<Deployment> {
+/// Reads the configuration from its JSON text, for a process that the system allows so many descriptors.
+pub fn read(text: &[u8], descriptors_allowed: usize) -> Result<Deployment> {
     let value: Value = serde_json::from_slice(text).context("not JSON")?;
     ensure!(value.is_object(), "not a JSON object");
     let top = Place(&value, String::new());
@@ -145,7 +145,7 @@
     };
     let machine = Machine {
         memory_mb: bounds.number("memory_mb", [32, 1 << 20], Some(192))?,
-        descriptors: bounds.number("sockets", [64, 1 << 20], Some(1024))? as usize,
+        descriptors: descriptors_allowed.min(bounds.number("sockets", [64, 1 << 20], Some(1024))? as usize),
         connect: micros("connect_timeout", 400_000)?,
         cache_idle: micros("conn_idle", 30_000_000)?,
         cut_off: offerings.iter().map(|offering| offering.cut_off).max().unwrap_or_default(),
--- a/crates/router/src/feed.rs
+++ b/crates/router/src/feed.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Result, bail};
 use async_io::{Async, Timer};
@@ -50,6 +50,8 @@
 /// The lines that the change log says.
 fn lines(stream: Async<TcpStream>, limits: Limits) -> impl Stream<Item = Result<Vec<u8>>> {
     stream::try_unfold((stream, Vec::new()), move |(mut stream, mut read)| async move {
+        // Bytes that trickle in without ever making a line are no news: else a list could stay old for ever.
+        let asked = Instant::now();
         loop {
             if let Some(line) = tindoor_changelog::take_line(&mut read) {
                 return Ok(Some((line, (stream, read))));
@@ -59,7 +61,8 @@
             read.truncate(limits.line);
             let filled = read.len();
             read.resize(filled + limits.read, 0);
-            let more = within(limits.feed_silence, stream.read(&mut read[filled..])).await?;
+            let left = limits.feed_line.saturating_sub(asked.elapsed()).min(limits.feed_silence);
+            let more = within(left, stream.read(&mut read[filled..])).await?;
             read.truncate(filled + more);
             if more == 0 {
                 return Ok(None);
--- a/crates/router/src/limits.rs
+++ b/crates/router/src/limits.rs
@@ -10,6 +10,10 @@
 use tindoor::time::Span;
 use tindoor_calls::Bounds;
 
+/// How many descriptors are kept for what is neither a client's nor a cache's: about a dozen are in use.
+const KEPT_AT_LEAST: usize = 16;
+const KEPT_AT_MOST: usize = 32;
+
 /// What the configuration says of the machine and of the connections.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Machine {
@@ -28,6 +32,8 @@
 pub struct Limits {
     /// Connections of clients at once.
     pub client_connections: usize,
+    /// How many of them are kept free, or on their way to be closed, for those that come.
+    pub clients_closing: usize,
     /// Connections to caches at once, idle ones included.
     pub cache_connections: usize,
     /// Views in hand at once.
@@ -69,7 +75,8 @@
     pub frame_wait: Duration,
     /// How long a client may wait at most; what it says beyond that is cut to it.
     pub patience: Duration,
-    /// How long a connection lies idle before its next use.
+    /// How long a connection to a cache lies idle before its next use: a second answer, which would pass for that of the
+    /// next request, may come some milliseconds after the first.
     pub settle: Duration,
     /// How long the number of a cache that has gone stays its own: the module counts it by what it did for
     /// two warm-ups.
@@ -83,6 +90,8 @@
     pub feed_connect: Duration,
     /// The least pause before the next connection to it; up to twice as long by chance.
     pub feed_pause: Duration,
+    /// How long one line of it may take to come whole, however its bytes trickle.
+    pub feed_line: Duration,
     /// How long views may still come after SIGTERM.
     pub last_calls: Duration,
     /// How long after SIGTERM what is open is answered at the latest: it may be killed from the longest
@@ -90,6 +99,16 @@
     pub stop: Duration,
     /// How long the last answers may take to be written, at the end and on a connection that can't be read.
     pub farewell: Duration,
+    /// How long what comes is still read on a connection whose router's side is closed: a call that crossed the close
+    /// would reset it, and destroy an answer that was not yet read.
+    pub linger: Duration,
+    /// The least of that time, where the places of connections run out: what a client sent before the close reached it
+    /// has come by then.
+    pub crossing: Duration,
+    /// How long there may be ever more to read of a client before nothing is sent on for it: a close may lie behind.
+    pub unheard: Duration,
+    /// How long the address to listen at may be in use at the start.
+    pub listen_wait: Duration,
     /// How long to wait before looking again whether a connection can be accepted, or the router can end.
     pub look_again: Duration,
     /// How often idle connections are looked through.
@@ -128,12 +147,14 @@
 
 impl Limits {
     pub fn of(machine: Machine) -> Self {
-        // Clients get a third; a few are kept for listener, change log, signals, timers and logs.
-        let kept = 32;
+        // Clients get a third; a few are kept for listener, change log, signals, timers and logs: fewer where the
+        // system allows few, as caches must be reached still.
+        let kept = (machine.descriptors / 4).clamp(KEPT_AT_LEAST, KEPT_AT_MOST);
         let client_connections = machine.descriptors / 3;
         let memory = machine.memory_mb as usize * 1_000_000;
         Self {
             client_connections,
+            clients_closing: client_connections / 8,
             cache_connections: machine.descriptors.saturating_sub(client_connections + kept).max(1),
             open_views: machine.open_views,
             open_calls: 32,
@@ -154,15 +175,20 @@
             first_call: Duration::from_millis(250),
             frame_wait: Duration::from_secs(2),
             patience: machine.cut_off.max(Duration::from_secs(60)),
-            settle: Duration::from_millis(2),
+            settle: Duration::from_millis(30),
             gone_kept: machine.warm_within * 3,
             untaken: Duration::from_secs(5),
             feed_silence: Duration::from_millis(1800),
             feed_connect: Duration::from_secs(1),
             feed_pause: Duration::from_millis(100),
+            feed_line: Duration::from_millis(2500),
             last_calls: Duration::from_millis(800),
-            stop: machine.cut_off.min(Duration::from_secs(3)) + Duration::from_millis(500),
+            stop: machine.cut_off.min(Duration::from_secs(3)) + Duration::from_millis(400),
             farewell: Duration::from_millis(200),
+            linger: Duration::from_secs(1),
+            crossing: Duration::from_millis(60),
+            unheard: Duration::from_millis(80),
+            listen_wait: Duration::from_secs(8),
             look_again: Duration::from_millis(10),
             sweep: Duration::from_secs(1),
             proxies: (client_connections / 4).max(1),
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,5 +1,6 @@
 //! tindoor on sockets: starts the router, and heeds signals: to read its configuration again, and to end.
 
+mod accept;
 mod caches;
 mod callers;
 mod choices;
@@ -34,11 +35,12 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use accept::Connections;
 use anyhow::{Context, Result};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{StreamExt, future};
 
 use caches::{Budget, Caches};
 use choices::Choices;
@@ -134,7 +136,7 @@
 /// An error names the file, the key, and its line.
 fn read_configuration(path: &OsString) -> Result<Deployment> {
     let text = std::fs::read(path).with_context(|| format!("configuration {}", path.display()))?;
-    configuration::read(&text).map_err(|error| {
+    configuration::read(&text, descriptors_allowed()).map_err(|error| {
         // Messages begin with the path of the key that they are about.
         let words = format!("{error:#}");
         let key = words.split(": ").find(|part| !part.contains(' ')).unwrap_or_default();
@@ -145,6 +147,12 @@
     })
 }
 
+/// How many descriptors the system allows this process, where it says so.
+fn descriptors_allowed() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    limit.current.and_then(|most| usize::try_from(most).ok()).unwrap_or(usize::MAX)
+}
+
 async fn run(
     executor: Rc<LocalExecutor<'static>>,
     files: Files,
@@ -223,6 +231,7 @@
         ids,
         caches: Caches::new(limits),
         budget: Budget::new(limits.buffered),
+        clients: Connections::default(),
         unwritten: Rc::default(),
         no_room: Seldom::default(),
         unreadable: Seldom::default(),
@@ -233,12 +242,18 @@
         router.caches.ask_before_connects(move |id| fleet.may_connect(id));
     }
     deployment.known.into_iter().for_each(|event| feed::heed(&router, event));
-    let listener = Async::<TcpListener>::bind(listen).with_context(|| format!("listen: {listen}"))?;
+    // Told to end while it waits for its address, it has nothing to end in order.
+    let told_to_end = async {
+        ends.next().await;
+        None
+    };
+    let listening = async { Some(accept::listen(listen, &limits).await) };
+    let Some(listener) = future::or(told_to_end, listening).await.transpose()? else { return Ok(()) };
     let bound = listener.get_ref().local_addr().context("listen")?;
     let feed = executor.spawn(feed::follow(Rc::clone(&router), deployment.changelog));
     let followed = (deployment.changelog, feed);
     executor.spawn(reload(Rc::clone(&router), hangups, path, deployment.fixed, followed)).detach();
-    executor.spawn(clients::accept(Rc::clone(&router), listener)).detach();
+    let accepting = executor.spawn(accept::accept(Rc::clone(&router), Rc::clone(&listener)));
     let bind = |key: &str, listen: SocketAddr| -> Result<Async<TcpListener>> {
         let bound = Async::<TcpListener>::bind(listen).with_context(|| format!("{key}.listen: {listen}"))?;
         let bound_to = bound.get_ref().local_addr().context("listen")?;
@@ -271,7 +286,7 @@
     executor.spawn(sweep).detach();
     tracing::info!(name, %bound, "ready");
     while ends.next().await.is_some_and(|signal| signal.is_err()) {}
-    stop(&router).await;
+    stop(&router, (accepting, listener)).await;
     Ok(())
 }
 
@@ -309,7 +324,7 @@
 
 /// Answers what still comes, and ends once nothing is open and no more can come; but in time before it is
 /// killed.
-async fn stop(router: &Router) {
+async fn stop(router: &Rc<Router>, (accepting, listener): (Task<Infallible>, Rc<Async<TcpListener>>)) {
     let told = Instant::now();
     let end = told + router.limits.stop;
     router.stopping.set(Some(end));
@@ -318,18 +333,27 @@
         tracing::info!(generation = fleet.status().0.generation, "leaving the fleet");
     }
     tracing::info!(views = router.decisions.open_views(), "stopping");
+    let look_again = || Timer::after(router.limits.look_again);
     let busy = || router.decisions.open_views() > 0 || router.unwritten.get() > 0;
     while told.elapsed() < router.limits.last_calls || busy() && Instant::now() < end {
-        Timer::after(router.limits.look_again).await;
+        look_again().await;
+    }
+    // Nobody comes any more. What did come is still taken, and each connection is closed once nothing is owed on it.
+    accepting.cancel().await;
+    while !(accept::accept_rest(router, &listener) & router.clients.close_idle()) && Instant::now() < end {
+        look_again().await;
     }
+    drop(listener);
     // Whoever waits longer than that is told so: a connection that just ends would lose the view.
     router.decisions.leave_all();
-    while busy() && end.elapsed() < router.limits.farewell {
-        Timer::after(router.limits.look_again).await;
+    router.clients.close_all();
+    let farewell = Instant::now();
+    while (busy() || !router.clients.is_empty()) && farewell.elapsed() < router.limits.farewell {
+        look_again().await;
     }
     if let Some(fleet) = &router.fleet {
         fleet.tell(|node, now| node.leave(now));
-        Timer::after(router.limits.look_again).await;
+        look_again().await;
     }
     tracing::info!(calls = ?router.choices.figures(), "stopped");
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -9,6 +9,7 @@
 use tindoor_desk::{Decisions, Ids};
 use tindoor_extproc::ask::Offering as Asked;
 
+use crate::accept::Connections;
 use crate::caches::{Budget, Caches};
 use crate::choices::Choices;
 use crate::configuration::Offering;
@@ -34,6 +35,8 @@
     pub ids: Ids,
     pub caches: Caches,
     pub budget: Rc<Budget>,
+    /// The connections of clients.
+    pub clients: Connections,
     /// Answers that wait to be written.
     pub unwritten: Rc<Cell<usize>>,
     /// Views that could not be taken, and calls that could not be read.
--- a/crates/router/src/view.rs
+++ b/crates/router/src/view.rs
@@ -48,7 +48,7 @@
     type Goods = (End, Option<Held>);
 
     async fn carry(&self, dispatch: Dispatch) -> Ended<Self::Goods> {
-        let (end, held) = exchange(self.router, self.call, self.wanted, dispatch).await;
+        let (end, held) = exchange(self, dispatch).await;
         Ended { verdict: end.verdict, note: end.note, goods: (end, held) }
     }
 
@@ -82,6 +82,8 @@
     // Hundreds may be withdrawn in the same breath in which they are sent: those never come to the module.
     // And an id names one view at a time: caches tell views apart by it.
     if slot.has_orders() {
+        // Owed still where it was not withdrawn, but its connection is being closed.
+        client.answer(seq, &slot, aborted(seq, &[]), None);
         return router.decisions.close_view(no);
     }
     let Some(_id) = router.ids.take(wanted.id) else {
@@ -108,18 +110,17 @@
 }
 
 /// One dispatch, within its own time.
-async fn exchange(
-    router: &Router,
-    call: &Call,
-    wanted: &Wanted<'_>,
-    dispatch: Dispatch,
-) -> (End, Option<Held>) {
+async fn exchange(served: &Served<'_>, dispatch: Dispatch) -> (End, Option<Held>) {
+    let Served { router, client, call, wanted, .. } = *served;
     let Dispatch { cache, wait, terms, ordered, .. } = dispatch;
     let source = terms.map(|terms| terms.source);
     let outlook = router.caches.outlook(cache, source);
     let source_id = source.filter(|source| *source != cache).map(|source| router.caches.id(source));
     let due = ordered + wait;
-    let head = || {
+    let head = async || {
+        // Its client may have left while a connection came up, and its close or withdrawal not have been read yet.
+        client.caught_up().await;
+        let waits = client.still_waits(router.limits.unheard);
         let left_ms = due.saturating_duration_since(Instant::now()).as_millis() as u64;
         let same = router.caches.outlook(cache, source) == outlook;
         let ask = Ask {
@@ -133,7 +134,7 @@
             renew: terms.is_some_and(|terms| terms.renew),
             ..wanted.ask
         };
-        (same && left_ms > 0).then(|| ask.head())
+        (same && waits && left_ms > 0).then(|| ask.head())
     };
     let sent = Cell::new(false);
     let whole = async { Some(router.caches.exchange(cache, head, &call.body, &router.budget, &sent).await) };
--- a/crates/router/tests/stories.rs
+++ b/crates/router/tests/stories.rs
@@ -1,57 +1,16 @@
 //! The whole router against stand-ins: one short story for each thing that must work or was met.
 
+mod support;
+
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
+use support::*;
 use tindoor_lab::stand_in::*;
 
-/// A router with one cache, a parent that nobody needs, and an origin.
-struct World {
-    cache: Cache,
-    origin: Cache,
-    log: ChangeLog,
-    router: Router,
-}
-
-fn world(deed: impl Fn(&Seen) -> Deed + Send + Sync + 'static) -> World {
-    world_with(deed, |_| {})
-}
-
-fn world_with(
-    deed: impl Fn(&Seen) -> Deed + Send + Sync + 'static,
-    change: impl FnOnce(&mut Value),
-) -> World {
-    let (cache, log) = (Cache::start(deed), ChangeLog::start());
-    let origin = Cache::start(|_| Deed::Say(served(b"saved")));
-    let parent = Cache::start(|_| Deed::Hang);
-    let members = vec![
-        member("c-1", cache.address, "cache", "active"),
-        member("p-1", parent.address, "parent", "active"),
-        member("o-1", origin.address, "origin", "active"),
-    ];
-    let mut configuration = configuration(log.address, members);
-    change(&mut configuration);
-    let router = Router::start(&configuration);
-    World { cache, origin, log, router }
-}
-
-/// The answer of a view done with this body.
-fn done(body: &[u8]) -> Reply {
-    Reply::Served { body: body.to_vec(), fields: Default::default(), good: true }
-}
-
-fn is_over(reply: &Reply) -> bool {
-    matches!(reply, Reply::TurnedBack(_) | Reply::WrittenOff(_))
-}
-
-fn fleet(seq: u64, members: Vec<Value>) -> String {
-    format!("{}\n", json!({"seq": seq, "fleet": {"revision": seq, "complete": false, "members": members}}))
-}
-
 #[test]
 fn a_view_is_served_whole_and_its_fields_go_on_unchanged() {
     let body: Vec<u8> = (0..240_000u32).map(|i| (i * 7 % 251) as u8).collect();
@@ -374,78 +333,10 @@
     assert_eq!(world.log.asks(4), [1, 1, 1, 2], "silent for longer than its beat allows");
 }
 
-/// A cache whose queue of connections is full: they neither come up nor fail until it is opened.
-struct Stuck {
-    socket: Socket,
-    address: SocketAddr,
-    _queue: Vec<Socket>,
-}
-
-impl Stuck {
-    fn new() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        socket.listen(0).unwrap();
-        let address = socket.local_addr().unwrap().as_socket().unwrap();
-        let fill = |_| {
-            let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-            filler.set_nonblocking(true).unwrap();
-            let _ = filler.connect(&address.into());
-            filler
-        };
-        Self { socket, address, _queue: (0..4).map(fill).collect() }
-    }
-
-    /// Takes connections from now on, and answers; gives what it is asked.
-    fn open(&self) -> Watched<Vec<String>> {
-        let (asked, socket) = (Watched::<Vec<String>>::default(), self.socket.try_clone().unwrap());
-        let all = asked.clone();
-        std::thread::spawn(move || {
-            while let Ok((mut stream, _)) = socket.accept() {
-                let all = all.clone();
-                std::thread::spawn(move || {
-                    let mut read = [0; 4096];
-                    if let Ok(size @ 1..) = stream.read(&mut read) {
-                        all.change(|all| all.push(String::from_utf8_lossy(&read[..size]).into_owned()));
-                        let _ = stream.write_all(&served(b"stuck"));
-                    }
-                });
-            }
-        });
-        asked
-    }
-
-    /// A router whose only cache is this one, with a view that has begun to connect to it.
-    fn world(&self) -> (World, Client) {
-        let world = world_with(
-            |_| Deed::Say(served(b"other")),
-            |configuration| {
-                configuration["settings"]["limits"]["connect_timeout"] = json!(60_000_000);
-                let members = &mut configuration["known"]["results"][0]["fleet"]["members"];
-                members[0]["host_port"] = json!(self.address.to_string());
-            },
-        );
-        let mut client = Client::connect(&world.router);
-        client.ask(1, OBJECT);
-        // Answered after the view was begun.
-        assert!(client.healthy(2));
-        world.log.asks(1);
-        world.log.beat.change(|beat| *beat = None);
-        (world, client)
-    }
-}
-
-impl World {
-    fn heeds(&self, word: &str) {
-        let heeded = |log: &mut Vec<String>| log.iter().any(|line| line.contains(word)).then_some(());
-        self.router.log.wait("an event to be heeded", heeded);
-    }
-}
-
 #[test]
 fn a_connect_that_hangs_past_a_drain_sends_nothing() {
-    let stuck = Stuck::new();
-    let (world, mut client) = stuck.world();
+    let stuck = Stuck::start();
+    let (world, mut client) = stuck_world(&stuck);
     let gone = member("c-1", stuck.address, "cache", "left");
     world.log.say(&fleet(2, vec![gone, member("c-2", world.cache.address, "cache", "active")]));
     world.heeds("seq: 2");
@@ -456,8 +347,8 @@
 
 #[test]
 fn a_connect_that_hangs_past_a_purge_asks_for_no_older_copy() {
-    let stuck = Stuck::new();
-    let (world, mut client) = stuck.world();
+    let stuck = Stuck::start();
+    let (world, mut client) = stuck_world(&stuck);
     let purge = json!({"seq": 2, "invalidate": {"object": OBJECT, "time": 1}});
     world.log.say(&format!("{purge}\n"));
     world.heeds("seq: 2");
@@ -520,7 +411,7 @@
 
 #[test]
 fn a_new_configuration_moves_the_change_log_which_goes_on_from_our_number() {
-    let stuck = Stuck::new();
+    let stuck = Stuck::start();
     let mut world = world(|_| Deed::Hang);
     let mut client = Client::connect(&world.router);
     world.log.asks(1);
@@ -708,7 +599,7 @@
 
 #[test]
 fn descriptors_stay_within_their_limit_while_connects_hang() {
-    let stuck = Stuck::new();
+    let stuck = Stuck::start();
     burst_within_descriptors(Some(stuck.address));
 }
 
