Tests: an error that comes as its client closes or withdraws is not tried again

Need: the pair of a client's end and a cache's error had no test that forces it. The router is stopped, the error is written and the client leaves, and the router finds both at once; one dispatch for each call is counted at the cache. Passes with the program as it was before, too: a suspicion ruled out.

--- a/crates/lab/src/stand_in.rs
+++ b/crates/lab/src/stand_in.rs
@@ -102,6 +102,8 @@
     pub seen: Watched<Vec<Seen>>,
     /// Connections that the router closed.
     pub closed: Watched<usize>,
+    /// Answers that waited for the test and have been written.
+    pub let_go: Watched<usize>,
 }
 
 impl Cache {
@@ -109,12 +111,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let (address, deed) = (listener.local_addr().unwrap(), Arc::new(deed));
         let (seen, closed) = (Watched::<Vec<Seen>>::default(), Watched::<usize>::default());
-        let cache = Self { address, seen: seen.clone(), closed: closed.clone() };
+        let let_go = Watched::<usize>::default();
+        let cache = Self { address, seen: seen.clone(), closed: closed.clone(), let_go: let_go.clone() };
         thread::spawn(move || {
             for (connection, stream) in listener.incoming().enumerate() {
                 let (deed, seen, closed) = (Arc::clone(&deed), seen.clone(), closed.clone());
+                let let_go = let_go.clone();
                 thread::spawn(move || {
-                    let _ = Self::talk(connection, stream.unwrap(), &*deed, &seen);
+                    let _ = Self::talk(connection, stream.unwrap(), &*deed, (&seen, &let_go));
                     closed.change(|closed| *closed += 1);
                 });
             }
@@ -126,7 +130,7 @@
         connection: usize,
         stream: TcpStream,
         deed: &dyn Fn(&Seen) -> Deed,
-        seen: &Watched<Vec<Seen>>,
+        (seen, let_go): (&Watched<Vec<Seen>>, &Watched<usize>),
     ) -> std::io::Result<()> {
         let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
         loop {
@@ -168,6 +172,7 @@
                 Deed::Once(gate, bytes) => {
                     gate.wait("the test to let an answer go", |open| open.then_some(()));
                     writer.write_all(&bytes)?;
+                    let_go.change(|count| *count += 1);
                 }
             }
         }
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -167,6 +167,41 @@
     assert!(asked.iter().all(|asked| !asked.contains(OBJECT)), "{asked:?}");
 }
 
+/// An error, after which a read is sent again, and the end of its client's wait: the router finds both at once.
+fn an_error_that_comes_as(client_leaves: impl FnOnce(&mut Client)) {
+    let gate = Watched::default();
+    let held = gate.clone();
+    let world = world(move |seen| match seen.line.contains(OBJECT) {
+        true => Deed::Once(held.clone(), answer(500, "", b"")),
+        false => Deed::Say(served(b"x")),
+    });
+    let mut client = Client::connect(&world.router);
+    client.ask(1, OBJECT);
+    world.cache.requests(1);
+    world.router.pause(true);
+    client_leaves(&mut client);
+    gate.let_go();
+    world.cache.let_go.wait("the error to be written", |count| (*count > 0).then_some(()));
+    world.router.pause(false);
+    world.heeds(" ended ");
+    // The pause before a further dispatch is 20 ms at most.
+    world.passes(Instant::now(), Duration::from_millis(200));
+    let mut other = Client::connect(&world.router);
+    other.ask(1, OTHER);
+    assert_eq!(other.reply(), (1, done(b"x")));
+    assert_eq!(world.cache.count(), 2, "one for each call");
+}
+
+#[test]
+fn an_error_that_comes_as_its_client_closes_is_not_tried_again() {
+    an_error_that_comes_as(|client| client.0.shutdown(std::net::Shutdown::Both).unwrap());
+}
+
+#[test]
+fn an_error_that_comes_as_its_call_is_withdrawn_is_not_tried_again() {
+    an_error_that_comes_as(|client| client.cancel(1));
+}
+
 #[test]
 fn a_client_that_takes_no_answers_and_closes_its_side_has_nothing_more_sent_on() {
     let gate = Watched::default();
