--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -153,7 +153,7 @@
         ("x-ticket", &ticket),
         ("x-max-ms", "6000"),
         ("x-envoy-attempt-count", "1"),
-        ("x-envoy-external-address", "10.1.2.3"),
+        ("x-envoy-external-address", "127.0.0.3"),
     ]);
     let Ok(mut stream) = Processing::open(front, &headers) else { return 0 };
     let choice = match stream.reply(Duration::from_secs(6)) {
