--- a/review/common/common.rs
+++ b/review/common/common.rs
@@ -306,6 +306,13 @@
         self.send(3, headers)
     }
 
+    /// Ends the proxy's side of the stream; the connection stays open.
+    pub fn finish(&mut self) -> io::Result<()> {
+        let mut frame = Vec::new();
+        push_frame(&mut frame, 0, 1, 1, &[]);
+        self.stream.write_all(&frame)
+    }
+
     /// Sends a `ProcessingRequest` with these headers in the field with this tag.
     fn send(&mut self, tag: u8, headers: &[(String, String)]) -> io::Result<()> {
         let mut map = Vec::new();
