--- a/review/common/common.rs
+++ b/review/common/common.rs
@@ -93,6 +93,15 @@
 impl Router {
     pub fn start(name: &str, listen: &str, configuration: &Path, fronts: &Path, log: &Path) -> Self {
         let command = "exec target/release/tindoor serve \"$PROXY_CONFIG\" --fronts \"$FRONTS\"";
+        Self::run(command, name, listen, configuration, fronts, log)
+    }
+
+    /// Starts a router on the platform's front alone, by the deploy file's `run`.
+    pub fn start_platform(name: &str, listen: &str, configuration: &Path, log: &Path) -> Self {
+        Self::run("exec target/release/tindoor", name, listen, configuration, Path::new(""), log)
+    }
+
+    fn run(command: &str, name: &str, listen: &str, configuration: &Path, fronts: &Path, log: &Path) -> Self {
         let _ = std::fs::remove_file(log);
         let output = OpenOptions::new().create(true).append(true).open(log).unwrap();
         let child = Command::new("/bin/sh")
@@ -122,6 +131,11 @@
         false
     }
 
+    /// Sends SIGHUP: the configuration file has been replaced.
+    pub fn hang_up(&self) {
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -HUP {}", self.child.id())]).status();
+    }
+
     /// Kills the router outright (SIGKILL).
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -259,6 +273,38 @@
     input
 }
 
+// ---- The platform's front, as a client calls it ----------------------------------------------------------
+
+/// One call in Thrift's framed strict binary protocol, with an empty body.
+pub fn thrift_call(sequence: i32, fields: &[(&str, &str)]) -> Vec<u8> {
+    let text = |out: &mut Vec<u8>, text: &str| {
+        out.extend((text.len() as u32).to_be_bytes());
+        out.extend(text.as_bytes());
+    };
+    let mut message = 0x8001_0001u32.to_be_bytes().to_vec();
+    text(&mut message, "call");
+    message.extend(sequence.to_be_bytes());
+    message.extend([13, 0, 1, 11, 11]);
+    message.extend((fields.len() as u32).to_be_bytes());
+    for (name, value) in fields {
+        text(&mut message, name);
+        text(&mut message, value);
+    }
+    message.extend([11, 0, 2, 0, 0, 0, 0, 0]);
+    let mut frame = (message.len() as u32).to_be_bytes().to_vec();
+    frame.extend(message);
+    frame
+}
+
+/// Reads one frame. `None` once the connection ends.
+pub fn read_frame(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).ok()?;
+    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+    stream.read_exact(&mut frame).ok()?;
+    Some(frame)
+}
+
 // ---- The external processing service, as a proxy calls it -----------------------------------------------
 
 /// One stream of the service, on a connection of its own.
