Stand-in with a full backlog: accept every connect that the system retries at once

Cause, in the stand-in: it listened with a backlog of 0 also after it was opened. Connects that pend are retried by the system, by timers that may fire together (the stand-in's fillers begin just before the router's connect). With a backlog of 0 the system answers such SYNs by cookies and drops the last ACK of those for which the accept queue has no place: the client holds its connection for established, the server knows nothing of it, and as the paused router sends nothing, nothing ever tells. The router is not at fault.

Change: the backlog is 128 once the cache accepts. The new test lets 64 connects pend at once: without the change it failed 3 of 3 (60 s in vain, listen overflows counted by the system), with it passed 3 of 3 in 1 s.

--- a/crates/testbed/src/stand_in/full_backlog.rs
+++ b/crates/testbed/src/stand_in/full_backlog.rs
@@ -12,6 +12,11 @@
 /// backlog's length.
 const FILLER_CONNECTIONS: usize = 4;
 
+/// Length of the backlog once the cache accepts connections. With a shorter one, the system may answer the
+/// pending connects that it retries at the same time and then drop some of them, without any sign to their
+/// clients.
+const OPEN_BACKLOG: i32 = 128;
+
 /// A cache whose backlog is full: connects to it neither succeed nor fail until [`FullBacklogCache::open`] is
 /// called.
 pub struct FullBacklogCache {
@@ -64,6 +69,7 @@
     /// Starts accepting connections and serves one request on each; returns the requests as text.
     pub fn open(&self) -> Watched<Vec<String>> {
         let requests = Watched::<Vec<String>>::default();
+        self.socket.listen(OPEN_BACKLOG).unwrap();
         let socket = self.socket.try_clone().unwrap();
         let received = requests.clone();
         let accepted = self.accepted.clone();
