--- a/crates/router/src/configuration/limits.rs
+++ b/crates/router/src/configuration/limits.rs
@@ -11,6 +11,13 @@
 const MAX_RESERVED_DESCRIPTORS: usize = 32;
 /// One in this many file descriptors is for client connections.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 3;
+/// One in this many client connections is kept available for new clients.
+const CLIENT_RESERVE_DIVISOR: usize = 8;
+/// One in this many client connections is for proxies, for each of their listeners.
+const PROXY_CONNECTIONS_DIVISOR: usize = 4;
+/// One in this many connections of proxies is kept available for new proxies. Their connections take longer to
+/// close than those of clients, as the close is announced first.
+const PROXY_RESERVE_DIVISOR: usize = 4;
 /// The time from the first byte of a frame or request head to its last byte.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time for a client or proxy to accept all bytes of a reply.
@@ -58,6 +65,8 @@
     pub bind_timeout: Duration,
     /// The Retry-After of requests that are rejected because the router has no lease.
     pub no_lease_retry_after: Duration,
+    /// The time between two reports on listeners that were full.
+    pub report_interval: Duration,
     /// Limits of client connections and calls.
     pub client: ClientLimits,
     /// Limits of connections to endpoints.
@@ -72,14 +81,29 @@
     pub external: ExternalRequestLimits,
 }
 
-/// Limits of client connections and calls.
+/// Limits of the connections of one listener.
 #[derive(Clone, Copy, Debug)]
-pub struct ClientLimits {
+pub struct ConnectionLimits {
     /// The maximum number of connections, including those being closed.
     pub max_connections: usize,
-    /// How many of `max_connections` are kept available for new clients: connections are closed early enough
+    /// How many of `max_connections` are kept available for new peers: connections are closed early enough
     /// that this many are unused or being closed.
     pub reserved_connections: usize,
+    /// The age from which a new connection that has not sent a complete message may be closed to make room
+    /// for others.
+    pub first_message_timeout: Duration,
+    /// How long the router reads and discards further bytes after it has closed its side of a connection.
+    /// Unread bytes would reset the connection and destroy replies in transit.
+    pub linger_timeout: Duration,
+    /// The minimum linger time, which applies if the connection limit is reached.
+    pub min_linger: Duration,
+}
+
+/// Limits of client connections and calls.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Limits of the connections.
+    pub connections: ConnectionLimits,
     /// The maximum number of open calls on one connection.
     pub max_open_calls: usize,
     /// The number of unwritten replies above which the router stops reading from a connection.
@@ -98,9 +122,6 @@
     /// The size of the socket's send buffer, in bytes: how much the system may buffer for a client that reads
     /// slowly.
     pub send_buffer_bytes: usize,
-    /// The age from which a new connection that has not sent a complete frame may be closed to make room for
-    /// others.
-    pub first_call_timeout: Duration,
     /// The time from the accept to the first complete frame, and from the first byte of a frame to its last
     /// byte.
     pub frame_timeout: Duration,
@@ -110,11 +131,6 @@
     pub write_timeout: Duration,
     /// The time for writing the last replies of a connection that is being closed.
     pub final_write_timeout: Duration,
-    /// How long the router reads and discards further bytes after it has closed its side of a connection.
-    /// Unread bytes would reset the connection and destroy replies in transit.
-    pub linger_timeout: Duration,
-    /// The minimum linger time, which applies if the connection limit is reached.
-    pub min_linger: Duration,
     /// How long bytes from a client may remain unread without interruption. After that, no request of the
     /// client is forwarded, because the client may have closed the connection after the unread bytes.
     pub max_read_backlog: Duration,
@@ -175,8 +191,8 @@
 /// Limits of connections from proxies.
 #[derive(Clone, Copy, Debug)]
 pub struct ProxyLimits {
-    /// The maximum number of connections.
-    pub max_connections: usize,
+    /// Limits of the connections of each listener.
+    pub connections: ConnectionLimits,
     /// The maximum number of open streams on one connection.
     pub max_streams: usize,
     /// The maximum size of a header list, in bytes.
@@ -235,6 +251,7 @@
             poll_interval: Duration::from_millis(10),
             bind_timeout: Duration::from_secs(8),
             no_lease_retry_after: Duration::from_millis(400),
+            report_interval: Duration::from_secs(10),
             client: ClientLimits::new(client_connections, max_request_timeout, final_write_timeout),
             upstream: UpstreamLimits::new(&inputs, client_connections),
             watch: WatchLimits::new(),
@@ -267,11 +284,22 @@
     }
 }
 
+impl ConnectionLimits {
+    fn new(max_connections: usize, reserved_connections: usize) -> Self {
+        Self {
+            max_connections,
+            reserved_connections,
+            first_message_timeout: Duration::from_millis(250),
+            linger_timeout: Duration::from_secs(1),
+            min_linger: Duration::from_millis(60),
+        }
+    }
+}
+
 impl ClientLimits {
     fn new(max_connections: usize, max_request_timeout: Duration, final_write_timeout: Duration) -> Self {
         Self {
-            max_connections,
-            reserved_connections: max_connections / 8,
+            connections: ConnectionLimits::new(max_connections, max_connections / CLIENT_RESERVE_DIVISOR),
             max_open_calls: 32,
             max_unwritten_replies: 128,
             max_frame_bytes: 64 << 10,
@@ -280,13 +308,10 @@
             max_body_bytes: 48_000,
             read_chunk_bytes: READ_CHUNK_BYTES,
             send_buffer_bytes: 256 << 10,
-            first_call_timeout: Duration::from_millis(250),
             frame_timeout: FRAME_TIMEOUT,
             max_request_timeout,
             write_timeout: WRITE_TIMEOUT,
             final_write_timeout,
-            linger_timeout: Duration::from_secs(1),
-            min_linger: Duration::from_millis(60),
             max_read_backlog: Duration::from_millis(80),
         }
     }
@@ -325,8 +350,9 @@
 
 impl ProxyLimits {
     fn new(client_connections: usize, max_request_timeout: Duration) -> Self {
+        let max_connections = (client_connections / PROXY_CONNECTIONS_DIVISOR).max(1);
         Self {
-            max_connections: (client_connections / 4).max(1),
+            connections: ConnectionLimits::new(max_connections, max_connections / PROXY_RESERVE_DIVISOR),
             max_streams: 1 << 10,
             max_header_list_bytes: 16 << 10,
             max_message_bytes: 64 << 10,
--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -1,18 +1,20 @@
-//! The state of one client connection: its phase, its open calls, and its unwritten replies.
+//! One client connection: its open calls and its unwritten replies.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io;
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, future};
+use futures_lite::future;
+use socket2::SockRef;
 use tindoor_request_runtime::{Action, Mailbox};
 use tindoor_thrift::Reply;
 
+use crate::connections::{ConnectionState, ManagedConnection, Phase};
 use crate::upstream::MemoryReservation;
 
 /// The number of executor turns that the reader needs to process what has arrived: one to wake, one to read,
@@ -28,45 +30,22 @@
     _memory: Option<MemoryReservation>,
 }
 
-/// The phase of a connection; phases only advance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// Calls are accepted and answered.
-    Open,
-    /// No further call is accepted; outstanding replies are still written.
-    Closing,
-    /// The router has closed its side. Bytes that still arrive are read and discarded.
-    HalfClosed,
-    /// The connection has ended.
-    Ended,
-}
-
 /// One connection of a client.
 pub struct Connection {
     /// The socket.
     pub stream: Async<TcpStream>,
+    /// The phase, and what has arrived.
+    pub state: ConnectionState,
     /// The calls without a final reply, by sequence id.
     open_calls: RefCell<HashMap<i32, Rc<Mailbox>>>,
     replies: RefCell<VecDeque<QueuedReply>>,
-    phase: Cell<Phase>,
-    /// The waker of the writer or, after the half-close, of the task that discards received bytes.
-    writer_waker: Cell<Option<Waker>>,
     /// The waker of the reader while it waits because too many replies are unwritten.
     reader_waker: Cell<Option<Waker>>,
-    /// Whether the system's receive buffer is known to hold unread bytes.
-    has_unread_bytes: Cell<bool>,
-    /// Whether bytes were read that are not dispatched yet: an incomplete frame, or further frames.
-    has_unparsed_bytes: Cell<bool>,
     /// Whether the writer has taken a reply and not asked for the next one yet.
     is_writing: Cell<bool>,
     /// The time of the first of the consecutive reads that each found bytes; `None` if the last read found
     /// none.
     backlog_since: Cell<Option<Instant>>,
-    /// Whether a complete frame has ever arrived.
-    has_sent_frame: Cell<bool>,
-    /// When a frame was last read, a reply last written, or the connection half-closed; initially, when the
-    /// connection was accepted.
-    last_activity: Cell<Instant>,
     /// The number of unwritten replies on all connections together.
     unwritten_replies: Rc<Cell<usize>>,
 }
@@ -76,73 +55,41 @@
     pub fn new(stream: Async<TcpStream>, unwritten_replies: Rc<Cell<usize>>) -> Self {
         Self {
             stream,
+            state: ConnectionState::default(),
             open_calls: RefCell::default(),
             replies: RefCell::default(),
-            phase: Cell::new(Phase::Open),
-            writer_waker: Cell::default(),
             reader_waker: Cell::default(),
-            has_unread_bytes: Cell::new(false),
-            has_unparsed_bytes: Cell::new(false),
             is_writing: Cell::new(false),
             backlog_since: Cell::new(None),
-            has_sent_frame: Cell::new(false),
-            last_activity: Cell::new(Instant::now()),
             unwritten_replies,
         }
     }
 
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
-        self.phase.get()
-    }
-
-    /// Returns when a frame was last read, a reply last written, or the connection half-closed.
-    pub fn last_activity(&self) -> Instant {
-        self.last_activity.get()
-    }
-
-    /// Returns whether a complete frame has ever arrived.
-    pub fn has_sent_frame(&self) -> bool {
-        self.has_sent_frame.get()
+        self.state.phase()
     }
 
-    /// Records that a complete frame has arrived.
-    pub fn record_frame(&self, arrived: Instant) {
-        self.last_activity.set(arrived);
-        self.has_sent_frame.set(true);
-    }
-
-    /// Records that a reply has been written.
-    pub fn record_write(&self) {
-        self.last_activity.set(Instant::now());
-    }
-
-    /// Returns whether the connection is open and has no open call, no unwritten reply, and no bytes of a
-    /// further call that are known to have arrived.
-    pub fn is_idle(&self) -> bool {
-        self.is_quiet() && !self.has_unparsed_bytes.get()
+    fn has_outstanding_replies(&self) -> bool {
+        !self.open_calls.borrow().is_empty() || !self.replies.borrow().is_empty() || self.is_writing.get()
     }
+}
 
-    /// Returns whether no complete frame has arrived within `first_call_timeout` of the accept. A partial
-    /// frame doesn't count.
-    pub fn is_stalled(&self, first_call_timeout: Duration) -> bool {
-        let age = self.last_activity.get().elapsed();
-        self.is_quiet() && !self.has_sent_frame.get() && age >= first_call_timeout
+impl ManagedConnection for Connection {
+    fn state(&self) -> &ConnectionState {
+        &self.state
     }
 
-    /// Like `is_idle`, but ignores bytes that were read and not dispatched yet.
-    fn is_quiet(&self) -> bool {
-        self.phase.get() == Phase::Open && !self.has_outstanding_replies() && !self.has_unread_bytes.get()
+    fn socket(&self) -> SockRef<'_> {
+        SockRef::from(self.stream.get_ref())
     }
 
-    fn has_outstanding_replies(&self) -> bool {
-        !self.open_calls.borrow().is_empty() || !self.replies.borrow().is_empty() || self.is_writing.get()
+    fn is_busy(&self) -> bool {
+        self.has_outstanding_replies()
     }
 
-    fn wake_writer(&self) {
-        if let Some(waker) = self.writer_waker.take() {
-            waker.wake();
-        }
+    fn stop(&self) {
+        self.stop_accepting_calls();
     }
 }
 
@@ -189,11 +136,11 @@
 
     /// Queues a reply. Drops it if the router has already closed its side.
     pub fn send(&self, reply: Reply, memory: Option<MemoryReservation>) {
-        if matches!(self.phase.get(), Phase::Open | Phase::Closing) {
+        if self.phase() <= Phase::Closing {
             self.unwritten_replies.set(self.unwritten_replies.get() + 1);
             let reply = QueuedReply { reply, queued: Instant::now(), _memory: memory };
             self.replies.borrow_mut().push_back(reply);
-            self.wake_writer();
+            self.state.wake();
         }
     }
 
@@ -208,10 +155,10 @@
             if reply.is_some() {
                 return Poll::Ready(reply);
             }
-            if self.phase.get() != Phase::Open && self.open_calls.borrow().is_empty() {
+            if self.phase() != Phase::Open && self.open_calls.borrow().is_empty() {
                 return Poll::Ready(None);
             }
-            self.writer_waker.set(Some(context.waker().clone()));
+            self.state.register(context);
             Poll::Pending
         })
         .await
@@ -237,16 +184,6 @@
 
 /// Received bytes and the client's presence.
 impl Connection {
-    /// Records whether bytes have been read that are not dispatched yet.
-    pub fn set_unparsed_bytes(&self, has_unparsed_bytes: bool) {
-        self.has_unparsed_bytes.set(has_unparsed_bytes);
-    }
-
-    /// Records that a read begins, which consumes the bytes known to be unread.
-    pub fn begin_read(&self) {
-        self.has_unread_bytes.set(false);
-    }
-
     /// Records that a read found bytes, so that more may be unread.
     pub fn record_backlog(&self, now: Instant) {
         self.backlog_since.set(self.backlog_since.get().or(Some(now)));
@@ -280,87 +217,30 @@
             Ok(size) => size > 0,
             Err(error) => error.kind() == io::ErrorKind::WouldBlock,
         };
-        is_read && is_connected && matches!(self.phase.get(), Phase::Open | Phase::Closing)
+        is_read && is_connected && self.phase() <= Phase::Closing
     }
 }
 
 /// Closing the connection.
 impl Connection {
-    /// Closes the router's side of an idle connection, unless unread bytes have arrived; returns whether it
-    /// was closed. No task may run between the check and the close: a connection closed with unread bytes is
-    /// reset, which may destroy the last reply.
-    pub fn close_unless_unread(&self) -> bool {
-        if self.has_bytes_in_system_buffer() {
-            self.has_unread_bytes.set(true);
-            return false;
-        }
-        self.half_close();
-        self.wake_writer();
-        true
-    }
-
     /// Stops accepting calls and abandons the open ones, which sends their replies.
     pub fn stop_accepting_calls(&self) {
-        if self.phase.get() == Phase::Open {
-            self.phase.set(Phase::Closing);
-        }
+        self.state.advance(Phase::Closing);
         self.open_calls.borrow().values().for_each(|mailbox| mailbox.push(Action::Abandon));
-        self.wake_writer();
-    }
-
-    /// Closes the router's side: the client reads all written replies and then the end of the stream.
-    pub fn half_close(&self) {
-        if matches!(self.phase.get(), Phase::Open | Phase::Closing) {
-            self.phase.set(Phase::HalfClosed);
-            self.last_activity.set(Instant::now());
-            // Fails if the client has reset the connection.
-            let _ = self.stream.get_ref().shutdown(Shutdown::Write);
-        }
+        self.state.wake();
     }
 
     /// Ends the connection: abandons its open calls and drops its unwritten replies.
     pub fn end(&self) {
-        self.phase.set(Phase::Ended);
+        self.state.advance(Phase::Ended);
         let dropped = self.replies.borrow_mut().drain(..).count();
         self.unwritten_replies.set(self.unwritten_replies.get() - dropped);
         for (_, mailbox) in self.open_calls.borrow_mut().drain() {
             mailbox.push(Action::Abandon);
         }
     }
-
-    /// Ends a half-closed connection if its client has not closed its side within `min_linger` of the
-    /// half-close; returns whether the connection was ended.
-    pub fn end_if_lingered(&self, min_linger: Duration) -> bool {
-        let is_due =
-            self.phase.get() == Phase::HalfClosed && self.last_activity.get().elapsed() >= min_linger;
-        if is_due {
-            self.phase.set(Phase::Ended);
-            self.wake_writer();
-        }
-        is_due
-    }
-
-    async fn wait_until_ended(&self) -> io::Result<()> {
-        future::poll_fn(|context| {
-            if self.phase.get() == Phase::Ended {
-                return Poll::Ready(Ok(()));
-            }
-            self.writer_waker.set(Some(context.waker().clone()));
-            Poll::Pending
-        })
-        .await
-    }
-
-    /// Reads and discards what arrives until the client closes its side or the connection is ended.
-    pub async fn discard_until_closed(&self, chunk_bytes: usize) -> io::Result<()> {
-        let mut chunk = vec![0; chunk_bytes];
-        let mut reader = &self.stream;
-        let read_to_end = async {
-            while reader.read(&mut chunk).await? > 0 {
-                future::yield_now().await;
-            }
-            Ok(())
-        };
-        future::or(read_to_end, self.wait_until_ended()).await
-    }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/downstream_connections.rs"]
+mod tests;
--- a/crates/router/src/downstream/frame_reader.rs
+++ b/crates/router/src/downstream/frame_reader.rs
@@ -7,8 +7,9 @@
 use futures_lite::future;
 use tindoor_thrift::ParseError;
 
-use super::connection::{Connection, Phase};
+use super::connection::Connection;
 use crate::configuration::limits::ClientLimits;
+use crate::connections::Phase;
 use crate::timeout::with_timeout;
 
 /// One frame from a client.
@@ -62,7 +63,7 @@
     pub async fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
         loop {
             let bytes = tindoor_thrift::take_frame(&mut self.buffer, self.limits.max_frame_bytes)?;
-            self.connection.set_unparsed_bytes(!self.buffer.is_empty());
+            self.connection.state.set_unparsed_bytes(!self.buffer.is_empty());
             if let Some(bytes) = bytes {
                 self.incomplete_since = Some(self.arrived).filter(|_| !self.buffer.is_empty());
                 return Ok(Some(Frame { bytes, arrived: self.arrived }));
@@ -84,7 +85,7 @@
     fn read_available(&mut self) -> io::Result<Received> {
         let filled = self.buffer.len();
         self.buffer.resize(filled + self.limits.read_chunk_bytes, 0);
-        self.connection.begin_read();
+        self.connection.state.set_unread_bytes(false);
         let result = self.connection.stream.get_ref().read(&mut self.buffer[filled..]);
         self.buffer.truncate(filled + result.as_ref().map_or(0, |size| *size));
         match result {
--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -1,18 +1,17 @@
-//! Accepts connections from clients.
+//! Binds the listen address for clients, and starts to serve their connections.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Instant;
 
 use async_io::{Async, Timer};
-use futures_lite::future;
 use socket2::SockRef;
 
-use super::connections::Connections;
+use super::connection::Connection;
 use super::session::serve_connection;
 use crate::configuration::limits::Limits;
+use crate::connections::{ConnectionHandler, ManagedConnection};
 use crate::state::RouterState;
 
 /// Binds the listen address. While another process still listens there, such as a previous instance of the
@@ -36,61 +35,38 @@
     }
 }
 
-/// The listener for clients.
-pub struct Listener {
+/// Serves the connections of clients.
+pub struct ClientHandler {
     state: Rc<RouterState>,
-    connections: Rc<Connections>,
-    socket: Async<TcpListener>,
 }
 
-impl Listener {
-    /// Creates a listener on a bound socket.
-    pub fn new(state: Rc<RouterState>, connections: Rc<Connections>, socket: Async<TcpListener>) -> Self {
-        Self { state, connections, socket }
+impl ClientHandler {
+    /// Creates a handler.
+    pub fn new(state: Rc<RouterState>) -> Self {
+        Self { state }
     }
+}
 
-    /// Accepts connections until it is dropped.
-    pub async fn accept(&self) -> Infallible {
-        let limits = &self.state.limits;
-        loop {
-            // A burst of new connections must not starve the existing ones.
-            future::yield_now().await;
-            if !self.connections.make_room(&limits.client) {
-                Timer::after(limits.poll_interval).await;
-                continue;
-            }
-            match self.socket.accept().await {
-                Ok((stream, _)) => self.serve(stream),
-                Err(error) => {
-                    if let Some(times) = self.state.overload_log.record() {
-                        tracing::warn!(%error, times, "accept failed; closing idle connections");
-                    }
-                    self.state.endpoints.sweep_idle();
-                    self.connections.close_one(&limits.client);
-                    Timer::after(limits.poll_interval).await;
-                }
-            }
-        }
-    }
+impl ConnectionHandler for ClientHandler {
+    type Listener = TcpListener;
+    type Stream = TcpStream;
 
-    /// Accepts the connections in the system's accept queue while there is capacity; returns true once the
-    /// queue is empty. Closing the listener resets the queued connections, and any calls on them are lost.
-    pub fn accept_pending(&self) -> bool {
-        while self.connections.make_room(&self.state.limits.client) {
-            match self.socket.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
-                Ok(stream) => self.serve(stream),
-                Err(_) => return true,
-            }
-        }
-        false
+    fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
+        listener.accept().map(|(stream, _)| stream)
     }
 
-    fn serve(&self, stream: Async<TcpStream>) {
+    fn serve(&self, stream: TcpStream) -> io::Result<Rc<dyn ManagedConnection>> {
+        let stream = Async::new(stream)?;
         let _ = stream.get_ref().set_nodelay(true);
         let send_buffer_bytes = self.state.limits.client.send_buffer_bytes;
         let _ = SockRef::from(stream.get_ref()).set_send_buffer_size(send_buffer_bytes);
-        let connection = self.connections.add(stream);
-        let session = serve_connection(Rc::clone(&self.state), connection);
+        let connection = Rc::new(Connection::new(stream, Rc::clone(&self.state.unwritten_replies)));
+        let session = serve_connection(Rc::clone(&self.state), Rc::clone(&connection));
         self.state.executor.spawn(session).detach();
+        Ok(connection)
+    }
+
+    fn accept_failed(&self) {
+        self.state.endpoints.sweep_idle();
     }
 }
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -1,7 +1,6 @@
 //! Serves clients: the listener, the clients' connections, and the requests on them.
 
 mod connection;
-mod connections;
 mod frame_reader;
 mod listener;
 mod request;
@@ -9,5 +8,4 @@
 mod session;
 mod writer;
 
-pub use connections::Connections;
-pub use listener::{Listener, bind};
+pub use listener::{ClientHandler, bind};
--- a/crates/router/src/downstream/session.rs
+++ b/crates/router/src/downstream/session.rs
@@ -11,11 +11,12 @@
     Answer, ApplicationExceptionKind, Fields, Message, ParseError, aborted, answer, application_exception,
 };
 
-use super::connection::{Connection, Phase};
+use super::connection::Connection;
 use super::frame_reader::{Frame, FrameError, FrameReader};
 use super::request::{Call, OpenCall, rejected, serve_call};
 use super::writer::write_replies;
 use crate::configuration::limits::ClientLimits;
+use crate::connections::{Phase, discard_until_closed, half_close};
 use crate::state::RouterState;
 use crate::timeout::with_timeout;
 
@@ -59,10 +60,10 @@
     if with_timeout(limits.final_write_timeout, writer).await.is_err() {
         return;
     }
-    connection.half_close();
+    half_close(connection);
     tracing::debug!(open = connection.open_call_count(), "client connection closed");
-    let discard = connection.discard_until_closed(limits.read_chunk_bytes);
-    let _ = with_timeout(limits.linger_timeout, discard).await;
+    let discard = discard_until_closed(&connection.state, &connection.stream, limits.read_chunk_bytes);
+    let _ = with_timeout(limits.connections.linger_timeout, discard).await;
 }
 
 /// Reads and dispatches messages until the client or the router closes the connection.
@@ -70,7 +71,7 @@
     let limits = state.limits.client;
     let mut frames = FrameReader::new(connection, limits);
     while let Some(frame) = frames.next_frame().await? {
-        connection.record_frame(frame.arrived);
+        connection.state.record_message(frame.arrived);
         dispatch(state, connection, frame, &limits)?;
         // Rejections and health replies reserve no memory, so backpressure here bounds their number.
         connection.wait_for_reply_capacity(limits.max_unwritten_replies).await;
--- a/crates/router/src/downstream/writer.rs
+++ b/crates/router/src/downstream/writer.rs
@@ -15,7 +15,7 @@
     while let Some(reply) = connection.next_reply().await {
         let _guard = UnwrittenReplyGuard(connection);
         write_reply(limits, connection, reply).await?;
-        connection.record_write();
+        connection.state.record_activity();
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/router/src/external/connection.rs
@@ -0,0 +1,182 @@
+//! One connection of an external proxy, for both fronts: its open calls, and how it is closed.
+
+use std::cell::Cell;
+use std::future;
+use std::io;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_io::Async;
+use socket2::SockRef;
+
+use crate::configuration::limits::ProxyLimits;
+use crate::connections::{
+    ConnectionState, ManagedConnection, Phase, discard_until_closed, half_close, half_close_unless_unread,
+    has_unread_bytes,
+};
+use crate::timeout::with_timeout;
+
+/// How the router closes an idle connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseMethod {
+    /// It closes its side unless bytes have arrived (HTTP/1.1).
+    HalfClose,
+    /// It announces the close, serves the calls that cross the announcement, and then names the last stream
+    /// that it has served (HTTP/2, RFC 9113, section 6.8).
+    GoAway,
+}
+
+/// One connection of a proxy.
+pub struct ProxyConnection {
+    /// The socket.
+    pub stream: Async<TcpStream>,
+    state: ConnectionState,
+    close_method: CloseMethod,
+    open_calls: Cell<usize>,
+    /// Whether an announced close is completed as soon as no call is open, without waiting for the proxy.
+    is_finish_requested: Cell<bool>,
+}
+
+impl ProxyConnection {
+    /// Creates the state of a connection that was just accepted.
+    pub fn new(stream: TcpStream, close_method: CloseMethod) -> io::Result<Rc<Self>> {
+        let stream = Async::new(stream)?;
+        let _ = stream.get_ref().set_nodelay(true);
+        Ok(Rc::new(Self {
+            stream,
+            state: ConnectionState::default(),
+            close_method,
+            open_calls: Cell::new(0),
+            is_finish_requested: Cell::new(false),
+        }))
+    }
+
+    /// Counts a call as open until the returned value is dropped.
+    pub fn begin_call(self: &Rc<Self>) -> OpenCall {
+        self.open_calls.set(self.open_calls.get() + 1);
+        OpenCall(Rc::clone(self))
+    }
+
+    /// Completes an announced close as soon as no call is open.
+    pub fn request_finish(&self) {
+        self.is_finish_requested.set(true);
+        self.state.wake();
+    }
+
+    /// Returns whether an announced close is to be completed now.
+    pub fn is_finish_due(&self) -> bool {
+        self.is_finish_requested.get() && !self.is_busy()
+    }
+
+    /// Waits until an announced close is to be completed.
+    pub async fn finish_due(&self) {
+        future::poll_fn(|context| {
+            if self.is_finish_due() {
+                return Poll::Ready(());
+            }
+            self.state.register(context);
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Closes a connection whose preface has not been read, so that there is no stream to wait for. Returns
+    /// false, and leaves it open, if bytes have arrived: they may be the preface and a call.
+    fn close_before_preface(&self) -> bool {
+        if has_unread_bytes(self) {
+            return false;
+        }
+        self.state.advance(Phase::Closing);
+        self.request_finish();
+        true
+    }
+
+    /// Closes the router's side, and for a bounded time reads and discards what still arrives.
+    pub async fn close(&self, limits: &ProxyLimits) {
+        half_close(self);
+        let discard = discard_until_closed(&self.state, &self.stream, limits.initial_read_bytes);
+        let _ = with_timeout(limits.connections.linger_timeout, discard).await;
+    }
+}
+
+impl ManagedConnection for ProxyConnection {
+    fn state(&self) -> &ConnectionState {
+        &self.state
+    }
+
+    fn socket(&self) -> SockRef<'_> {
+        SockRef::from(self.stream.get_ref())
+    }
+
+    fn is_busy(&self) -> bool {
+        self.open_calls.get() > 0
+    }
+
+    fn stop(&self) {
+        self.state.advance(Phase::Closing);
+        self.request_finish();
+    }
+
+    /// Connections of proxies end with the process.
+    fn closes_at_shutdown(&self) -> bool {
+        false
+    }
+
+    fn accepts_calls(&self) -> bool {
+        match self.close_method {
+            CloseMethod::HalfClose => self.state.phase() == Phase::Open,
+            CloseMethod::GoAway => self.state.phase() <= Phase::Closing,
+        }
+    }
+
+    fn begin_close(&self) -> bool {
+        match self.close_method {
+            CloseMethod::HalfClose => half_close_unless_unread(self),
+            CloseMethod::GoAway if self.state.has_sent_message() => {
+                self.state.advance(Phase::Closing);
+                true
+            }
+            CloseMethod::GoAway => self.close_before_preface(),
+        }
+    }
+
+    fn is_lingering(&self) -> bool {
+        match self.state.phase() {
+            Phase::Closing => self.close_method == CloseMethod::GoAway && !self.is_busy(),
+            phase => phase == Phase::HalfClosed,
+        }
+    }
+
+    fn end_if_lingered(&self, min_linger: Duration) {
+        self.finish_close(min_linger);
+        if self.state.phase() == Phase::HalfClosed && self.state.idle_time() >= min_linger {
+            self.state.advance(Phase::Ended);
+        }
+    }
+
+    fn finish_close(&self, min_linger: Duration) {
+        if self.state.phase() == Phase::Closing && self.state.idle_time() >= min_linger {
+            self.request_finish();
+        }
+    }
+}
+
+/// Counts a call as open until it is dropped.
+pub struct OpenCall(Rc<ProxyConnection>);
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.open_calls.set(self.0.open_calls.get() - 1);
+        self.0.state.record_activity();
+        self.0.state.wake();
+    }
+}
+
+/// Logs the error, if any, with which a connection ended.
+pub fn log_end(result: io::Result<()>) {
+    if let Err(error) = result {
+        tracing::debug!(%error, "connection of an external proxy ended with an error");
+    }
+}
--- a/crates/router/src/external/grpc/mod.rs
+++ b/crates/router/src/external/grpc/mod.rs
@@ -1,96 +1,59 @@
 //! The gRPC front: for each request, a proxy calls the router over gRPC, and transfers the bytes itself.
 
+mod connection;
 mod exchange;
 mod stream;
 
-use std::future;
 use std::io;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
 
-use async_io::{Async, Timer};
 use bytes::Bytes;
-use futures_lite::future::or;
 use h2::RecvStream;
-use h2::server::{self, SendResponse};
+use h2::server::SendResponse;
 use http::{HeaderMap, Method, Request, Response};
 use tindoor_extproc::request::HeaderNames;
-use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
-use crate::configuration::limits::ProxyLimits;
+use super::connection::{CloseMethod, ProxyConnection, log_end};
+use crate::connections::{ConnectionHandler, ManagedConnection};
 use crate::state::RouterState;
-use crate::timeout::with_timeout;
 use stream::{GrpcStatus, MessageStream, StreamEnd};
 
 const PROCESS_PATH: &str = "/envoy.service.ext_proc.v3.ExternalProcessor/Process";
 const CONTENT_TYPE: &str = "application/grpc";
 
-type Connection = server::Connection<Compat<Async<TcpStream>>, Bytes>;
-
-/// Serves one connection until either side ends it.
-pub async fn serve_connection(
+/// Serves the connections of proxies that call over gRPC.
+pub struct GrpcHandler {
     router: Rc<RouterState>,
-    stream: Async<TcpStream>,
     names: Rc<HeaderNames>,
-) -> io::Result<()> {
-    let limits = &router.limits.proxy;
-    let builder = connection_builder(limits);
-    let handshake = async { builder.handshake(stream.compat()).await.map_err(io::Error::other) };
-    let mut connection: Connection = with_timeout(limits.frame_timeout, handshake).await?;
-    // Each open stream holds a clone; the strong count minus one is the number of open streams.
-    let open_streams = Rc::new(());
-    let mut last_used = Instant::now();
-    // One timer for the whole connection, as creating a timer costs a system call.
-    let mut idle = Timer::after(limits.idle_timeout);
-    loop {
-        let accepted = or(async { Some(connection.accept().await) }, async {
-            (&mut idle).await;
-            None
-        });
-        let (request, respond) = match accepted.await {
-            Some(None) => return Ok(()),
-            Some(Some(accepted)) => accepted.map_err(io::Error::other)?,
-            None if Rc::strong_count(&open_streams) > 1 || last_used.elapsed() < limits.idle_timeout => {
-                idle.set_after(limits.idle_timeout);
-                continue;
-            }
-            None => return close_idle(connection, limits).await,
-        };
-        last_used = Instant::now();
-        let guard = Rc::clone(&open_streams);
-        let (router, names) = (Rc::clone(&router), Rc::clone(&names));
-        let executor = Rc::clone(&router.executor);
-        let task = async move {
-            serve_stream(&router, request, respond, &names).await;
-            drop(guard);
-        };
-        executor.spawn(task).detach();
-    }
 }
 
-/// Returns a builder with limits on what one connection may use: open streams, streams that are reset before
-/// they are accepted, headers (continuation frames included), and buffered data.
-fn connection_builder(limits: &ProxyLimits) -> server::Builder {
-    let mut builder = server::Builder::new();
-    builder
-        .max_concurrent_streams(limits.max_streams as u32)
-        .max_header_list_size(limits.max_header_list_bytes as u32)
-        .max_frame_size(limits.read_chunk_bytes as u32)
-        .max_pending_accept_reset_streams(limits.max_reset_streams)
-        .max_concurrent_reset_streams(limits.max_reset_streams)
-        .max_local_error_reset_streams(Some(limits.max_reset_streams))
-        .data_frame_budget(limits.data_frame_budget)
-        .max_send_buffer_size(limits.max_unsent_bytes)
-        .initial_window_size(limits.max_message_bytes as u32);
-    builder
+impl GrpcHandler {
+    /// Creates a handler; `names` are the headers that a request is read from.
+    pub fn new(router: Rc<RouterState>, names: HeaderNames) -> Self {
+        Self { router, names: Rc::new(names) }
+    }
 }
 
-async fn close_idle(mut connection: Connection, limits: &ProxyLimits) -> io::Result<()> {
-    connection.graceful_shutdown();
-    let closed =
-        async { future::poll_fn(|context| connection.poll_closed(context)).await.map_err(io::Error::other) };
-    with_timeout(limits.frame_timeout, closed).await
+impl ConnectionHandler for GrpcHandler {
+    type Listener = TcpListener;
+    type Stream = TcpStream;
+
+    fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
+        listener.accept().map(|(stream, _)| stream)
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<Rc<dyn ManagedConnection>> {
+        let proxy = ProxyConnection::new(stream, CloseMethod::GoAway)?;
+        let (router, names, served) = (Rc::clone(&self.router), Rc::clone(&self.names), Rc::clone(&proxy));
+        let task = async move { log_end(connection::serve(&router, &served, &names).await) };
+        self.router.executor.spawn(task).detach();
+        Ok(proxy)
+    }
+
+    fn accept_failed(&self) {
+        self.router.endpoints.sweep_idle();
+    }
 }
 
 /// Serves one call of the service: replies to its messages, and sends the gRPC status at the end.
--- a/crates/router/src/external/http/mod.rs
+++ b/crates/router/src/external/http/mod.rs
@@ -2,78 +2,123 @@
 //! decision, and a second one reports the outcome. It uses the same table as the gRPC front, with another
 //! codec.
 
+mod head;
+
 use std::fmt::Write;
 use std::io;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Instant;
 
-use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use tindoor_external_requests::{CallId, CallReply};
 use tindoor_extproc::request::{HeaderNames, Headers, read_report};
 use tindoor_extproc::response::{self, FinalResponse, HeaderField};
 
 use super::call::Call;
+use super::connection::{CloseMethod, ProxyConnection, log_end};
 use super::request::{CheckedRequest, bad_request, final_response, final_response_to_request, read_request};
 use super::target;
+use crate::connections::{ConnectionHandler, ManagedConnection, Phase};
 use crate::state::RouterState;
 use crate::timeout::with_timeout;
+use head::{RequestHead, invalid, parse_head};
 
 const REPORT_PATH: &str = "/report";
 /// The header with the id of a call, which the report on that call repeats.
 const LEASE_HEADER: &str = "x-tindoor-lease";
-/// The maximum number of headers of a request.
-const MAX_HEADERS: usize = 64;
 /// The number of hexadecimal digits of a correlation id.
 const CORRELATION_ID_DIGITS: usize = 16;
 
-/// The path and headers of a request.
-struct RequestHead {
-    path: String,
-    headers: Vec<(String, Vec<u8>)>,
-    closes_connection: bool,
+/// Serves the connections of proxies that call over plain HTTP.
+pub struct PlainHandler {
+    router: Rc<RouterState>,
+    names: Rc<HeaderNames>,
+}
+
+impl PlainHandler {
+    /// Creates a handler; `names` are the headers that a request is read from.
+    pub fn new(router: Rc<RouterState>, names: HeaderNames) -> Self {
+        Self { router, names: Rc::new(names) }
+    }
+}
+
+impl ConnectionHandler for PlainHandler {
+    type Listener = TcpListener;
+    type Stream = TcpStream;
+
+    fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
+        listener.accept().map(|(stream, _)| stream)
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<Rc<dyn ManagedConnection>> {
+        let proxy = ProxyConnection::new(stream, CloseMethod::HalfClose)?;
+        let (router, names, served) = (Rc::clone(&self.router), Rc::clone(&self.names), Rc::clone(&proxy));
+        let task = async move { log_end(serve_connection(router, names, served).await) };
+        self.router.executor.spawn(task).detach();
+        Ok(proxy)
+    }
+
+    fn accept_failed(&self) {
+        self.router.endpoints.sweep_idle();
+    }
 }
 
 /// One connection. Each request is answered before the next one is read.
 struct Connection {
     router: Rc<RouterState>,
     names: Rc<HeaderNames>,
-    stream: Async<TcpStream>,
+    proxy: Rc<ProxyConnection>,
     received: Vec<u8>,
 }
 
-/// Serves one connection until either side ends it.
-pub async fn serve_connection(
+/// Serves one connection until either side closes it.
+async fn serve_connection(
     router: Rc<RouterState>,
-    stream: Async<TcpStream>,
     names: Rc<HeaderNames>,
+    proxy: Rc<ProxyConnection>,
 ) -> io::Result<()> {
-    let mut connection = Connection { router, names, stream, received: Vec::new() };
-    loop {
-        let head = match connection.next_request().await {
-            Ok(Some(head)) => head,
-            Ok(None) => return Ok(()),
-            Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-                return connection.respond(&bad_request(error.to_string()), true).await;
+    let limits = router.limits.proxy;
+    let mut connection = Connection { router, names, proxy: Rc::clone(&proxy), received: Vec::new() };
+    connection.serve_requests().await?;
+    proxy.close(&limits).await;
+    Ok(())
+}
+
+impl Connection {
+    async fn serve_requests(&mut self) -> io::Result<()> {
+        loop {
+            let head = match self.next_request().await {
+                Ok(Some(head)) => head,
+                Ok(None) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                    return self.respond(&bad_request(error.to_string()), true).await;
+                }
+                Err(error) => return Err(error),
+            };
+            let _call = self.proxy.begin_call();
+            match head.path.as_str() {
+                REPORT_PATH => self.report(&head).await?,
+                _ => self.decide(&head).await?,
+            }
+            if head.closes_connection {
+                return Ok(());
             }
-            Err(error) => return Err(error),
-        };
-        match head.path.as_str() {
-            REPORT_PATH => connection.report(&head).await?,
-            _ => connection.decide(&head).await?,
-        }
-        if head.closes_connection {
-            return Ok(());
         }
     }
-}
 
-impl Connection {
-    /// Reads the next request. `None` if the proxy has closed the connection.
+    /// Reads the next request. `None` if either side has closed the connection.
     async fn next_request(&mut self) -> io::Result<Option<RequestHead>> {
         loop {
-            if let Some((head, size)) = parse_head(&self.received)? {
+            let state = self.proxy.state();
+            if state.phase() != Phase::Open {
+                return Ok(None);
+            }
+            let parsed = parse_head(&self.received)?;
+            if let Some((head, size)) = parsed {
                 self.received.drain(..size);
+                state.set_unparsed_bytes(!self.received.is_empty());
+                state.record_message(Instant::now());
                 return Ok(Some(head));
             }
             if self.received.len() > self.router.limits.proxy.max_header_list_bytes {
@@ -85,26 +130,31 @@
         }
     }
 
+    /// Reads once. Returns 0 if either side has closed the connection.
     async fn receive(&mut self) -> io::Result<usize> {
         let limits = &self.router.limits.proxy;
         let wait = if self.received.is_empty() { limits.idle_timeout } else { limits.frame_timeout };
+        let state = self.proxy.state();
         let filled = self.received.len();
         self.received.resize(filled + limits.initial_read_bytes, 0);
-        let received = with_timeout(wait, self.stream.read(&mut self.received[filled..])).await;
+        let mut stream = &self.proxy.stream;
+        let read = stream.read(&mut self.received[filled..]);
+        let closed = async {
+            state.wait_for(Phase::Closing).await;
+            Ok(0)
+        };
+        let received = with_timeout(wait, future::or(read, closed)).await;
         self.received.truncate(filled + received.as_ref().map_or(0, |received| *received));
+        state.set_unread_bytes(false);
+        state.set_unparsed_bytes(!self.received.is_empty());
         received
     }
 
     async fn respond(&mut self, response: &FinalResponse, closes_connection: bool) -> io::Result<()> {
-        let mut head = format!("HTTP/1.1 {} X\r\n", response.status);
-        for HeaderField { name, value } in &response.fields {
-            let _ = write!(head, "{name}: {value}\r\n");
-        }
-        if closes_connection {
-            head.push_str("connection: close\r\n");
-        }
-        head.push_str("content-length: 0\r\n\r\n");
-        with_timeout(self.router.limits.proxy.write_timeout, self.stream.write_all(head.as_bytes())).await
+        let closes_connection = closes_connection || self.proxy.state().phase() != Phase::Open;
+        let response = encode_response(response, closes_connection);
+        let mut stream = &self.proxy.stream;
+        with_timeout(self.router.limits.proxy.write_timeout, stream.write_all(response.as_bytes())).await
     }
 
     /// Responds with a decision or a final refusal. A proxy that closes its connection before the response
@@ -181,8 +231,8 @@
     async fn next_reply(&self, call: &Call) -> io::Result<CallReply> {
         let reply = async { Ok(call.replies.next().await) };
         let closed = async {
-            self.stream.readable().await?;
-            match self.stream.get_ref().peek(&mut [0]) {
+            self.proxy.stream.readable().await?;
+            match self.proxy.stream.get_ref().peek(&mut [0]) {
                 Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
                 // The next request has already arrived; it is read after this one is answered.
                 Ok(_) => std::future::pending().await,
@@ -193,50 +243,17 @@
     }
 }
 
-impl RequestHead {
-    fn headers(&self) -> Headers<'_> {
-        let path = (":path", self.path.as_bytes());
-        let headers = self.headers.iter().map(|header| (header.0.as_str(), header.1.as_slice()));
-        Headers(std::iter::once(path).chain(headers).collect())
+/// Returns the bytes of a response without a body.
+fn encode_response(response: &FinalResponse, closes_connection: bool) -> String {
+    let mut head = format!("HTTP/1.1 {} X\r\n", response.status);
+    for HeaderField { name, value } in &response.fields {
+        let _ = write!(head, "{name}: {value}\r\n");
     }
-
-    /// Returns the headers of a report, with `x-status`, the endpoint's status, under the name `:status`.
-    fn report_headers(&self) -> Headers<'_> {
-        let mut headers = self.headers();
-        for header in headers.0.iter_mut().filter(|header| header.0 == "x-status") {
-            header.0 = ":status";
-        }
-        headers
-    }
-
-    /// Returns a header's value as a number. `None` if the header is missing, repeated or not a number.
-    fn number(&self, name: &str) -> Option<u64> {
-        let mut values = self.headers.iter().filter(|header| header.0 == name);
-        let value = values.next().filter(|_| values.next().is_none())?;
-        std::str::from_utf8(&value.1).ok()?.parse().ok()
-    }
-}
-
-/// Parses the head of a request, and returns it with its size in bytes. `None` if the head is incomplete.
-fn parse_head(received: &[u8]) -> io::Result<Option<(RequestHead, usize)>> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut headers);
-    let size = match request.parse(received) {
-        Ok(httparse::Status::Complete(size)) => size,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(invalid("the request can't be read")),
-    };
-    let headers = request.headers.iter();
-    let headers: Vec<_> =
-        headers.map(|header| (header.name.to_ascii_lowercase(), header.value.to_vec())).collect();
-    let named = |name: &str| headers.iter().find(|header| header.0 == name).map(|header| &header.1[..]);
-    let has_body = named("content-length").is_some_and(|length| length != b"0");
-    if has_body || named("transfer-encoding").is_some() {
-        return Err(invalid("a call has no body"));
+    if closes_connection {
+        head.push_str("connection: close\r\n");
     }
-    let closes_connection = named("connection").is_some_and(|words| words.eq_ignore_ascii_case(b"close"));
-    let path = request.path.unwrap_or_default().to_string();
-    Ok(Some((RequestHead { path, headers, closes_connection }, size)))
+    head.push_str("content-length: 0\r\n\r\n");
+    head
 }
 
 /// Returns the response that carries a decision.
@@ -258,7 +275,3 @@
     fields.extend(cookie.map(|cookie| HeaderField::new("x-tindoor-set-cookie", cookie)));
     FinalResponse { status: 200, fields }
 }
-
-fn invalid(problem: &'static str) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, problem)
-}
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -4,9 +4,9 @@
 
 mod call;
 mod checks;
-pub mod grpc;
-pub mod http;
-pub mod listener;
+mod connection;
+mod grpc;
+mod http;
 mod request;
 mod table_host;
 mod target;
@@ -23,6 +23,9 @@
 };
 use tindoor_request_runtime::{Action, Attempt, EngineHandle, InFlightIds, WakeTimer};
 
+pub use grpc::GrpcHandler;
+pub use http::PlainHandler;
+
 use call::Call;
 use table_host::{Host, InFlight};
 
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,6 +1,7 @@
 //! The `tindoor` program: parses the command line and runs the subcommand.
 
 mod configuration;
+mod connections;
 mod disabled_check;
 mod discovery;
 mod downstream;
--- a/crates/router/src/server/mod.rs
+++ b/crates/router/src/server/mod.rs
@@ -13,13 +13,16 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 
-use crate::downstream::{Connections, Listener};
+use crate::downstream::ClientHandler;
 use crate::operator::command_line::Files;
 use crate::signed_urls::SignedUrls;
 use files::{LoadedFiles, load_files};
 use reload::Reloader;
 use shutdown::Shutdown;
 
+/// The name of the listener for clients in the log.
+const CLIENT_LISTENER: &str = "clients";
+
 /// Loads the files and serves until SIGTERM or SIGINT.
 pub fn start(files: Files) -> Result<()> {
     let loaded = load_files(&files)?;
@@ -50,8 +53,6 @@
     let Some(socket) = future::or(wait_for_signal(&mut stop_signals), bind).await else { return Ok(()) };
     let socket = socket.with_context(|| format!("listen: {}", configuration.listen))?;
     let bound = socket.get_ref().local_addr().context("listen")?;
-    let connections = Rc::new(Connections::default());
-    let listener = Rc::new(Listener::new(Rc::clone(&state), Rc::clone(&connections), socket));
     let reloader = Reloader::start(
         Rc::clone(&state),
         files.configuration().unwrap_or_default(),
@@ -59,15 +60,18 @@
         configuration.fixed,
     );
     executor.spawn(reloader.run(reload_signals)).detach();
-    let accepting = executor.spawn({
-        let listener = Rc::clone(&listener);
-        async move { listener.accept().await }
-    });
+    let clients = startup::start_listener(
+        &state,
+        CLIENT_LISTENER,
+        ClientHandler::new(Rc::clone(&state)),
+        socket,
+        state.limits.client.connections,
+    );
     startup::listen_for_proxies(&state, fronts)?;
     startup::spawn_timers(&state);
     tracing::info!(name = configuration.name, %bound, "ready");
     while stop_signals.next().await.is_some_and(|signal| signal.is_err()) {}
-    Shutdown { state: &state, connections: &connections }.run(accepting, listener).await;
+    Shutdown { state: &state }.run(vec![clients]).await;
     Ok(())
 }
 
--- a/crates/router/src/server/shutdown.rs
+++ b/crates/router/src/server/shutdown.rs
@@ -9,30 +9,47 @@
 use async_io::Timer;
 use tindoor_consensus::Node;
 
-use crate::downstream::{Connections, Listener};
+use crate::connections::PendingConnections;
 use crate::state::RouterState;
 
+/// A listener that accepts connections.
+pub struct RunningListener {
+    /// Accepts the connections.
+    pub acceptor: Rc<dyn PendingConnections>,
+    /// Runs the acceptor.
+    pub task: Task<Infallible>,
+}
+
+/// Ends the tasks of the listeners, and returns the acceptors, whose sockets still listen.
+async fn stop_accepting(listeners: Vec<RunningListener>) -> Vec<Rc<dyn PendingConnections>> {
+    let mut acceptors = Vec::new();
+    for RunningListener { acceptor, task } in listeners {
+        task.cancel().await;
+        acceptors.push(acceptor);
+    }
+    acceptors
+}
+
 /// A graceful shutdown.
 pub struct Shutdown<'a> {
     /// The state that the tasks share.
     pub state: &'a RouterState,
-    /// The clients' connections.
-    pub connections: &'a Connections,
 }
 
 impl Shutdown<'_> {
     /// Runs the shutdown.
-    pub async fn run(self, accepting: Task<Infallible>, listener: Rc<Listener>) {
+    pub async fn run(self, listeners: Vec<RunningListener>) {
         let begun = Instant::now();
         let deadline = begun + self.state.limits.shutdown.timeout;
         self.state.shutdown_deadline.set(Some(deadline));
         self.log_begin();
         self.serve_remaining(begun, deadline).await;
-        accepting.cancel().await;
-        self.close_idle_connections(&listener, deadline).await;
-        drop(listener);
+        let acceptors = stop_accepting(listeners).await;
+        self.close_idle_connections(&acceptors, deadline).await;
+        drop(acceptors);
         self.abandon_requests().await;
         self.leave_fleet().await;
+        self.state.listeners.report();
         tracing::info!(calls = ?self.state.external.counters(), "stopped");
     }
 
@@ -49,7 +66,7 @@
 
     /// Returns whether requests are in flight or replies are unwritten.
     fn is_busy(&self) -> bool {
-        self.state.engine.open_requests() > 0 || self.connections.unwritten_replies() > 0
+        self.state.engine.open_requests() > 0 || self.state.unwritten_replies.get() > 0
     }
 
     /// Continues serving for the minimum duration, and then until nothing is in flight or the deadline is
@@ -62,11 +79,11 @@
     }
 
     /// Accepts pending connections and closes idle ones, until all are closed or the deadline is reached.
-    async fn close_idle_connections(&self, listener: &Listener, deadline: Instant) {
+    async fn close_idle_connections(&self, acceptors: &[Rc<dyn PendingConnections>], deadline: Instant) {
         loop {
-            let none_pending = listener.accept_pending();
-            let all_closed = self.connections.close_idle();
-            if none_pending && all_closed || Instant::now() >= deadline {
+            let pending = acceptors.iter().filter(|acceptor| !acceptor.accept_pending()).count();
+            let all_closed = self.state.listeners.close_idle();
+            if pending == 0 && all_closed || Instant::now() >= deadline {
                 return;
             }
             self.wait_poll_interval().await;
@@ -77,10 +94,10 @@
     /// written.
     async fn abandon_requests(&self) {
         self.state.engine.abandon_all();
-        self.connections.close_all();
+        self.state.listeners.stop_all();
         let begun = Instant::now();
         let timeout = self.state.limits.shutdown.final_write_timeout;
-        while (self.is_busy() || !self.connections.is_empty()) && begun.elapsed() < timeout {
+        while (self.is_busy() || !self.state.listeners.is_empty()) && begun.elapsed() < timeout {
             self.wait_poll_interval().await;
         }
     }
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -12,10 +12,12 @@
 use tindoor_discovery::{WatchEvent, WatchPosition};
 use tindoor_request_runtime::{AdmissionGate, EngineHandle, InFlightIds};
 
-use crate::configuration::limits::{Limits, PeerLimits};
+use super::shutdown::RunningListener;
+use crate::configuration::limits::{ConnectionLimits, Limits, PeerLimits};
 use crate::configuration::{Configuration, Fronts};
+use crate::connections::{Acceptor, ConnectionHandler};
 use crate::discovery::apply_event;
-use crate::external::{ExternalProcessing, grpc, http, listener};
+use crate::external::{ExternalProcessing, GrpcHandler, PlainHandler};
 use crate::fleet::{Fleet, LocalRouter};
 use crate::log_throttle::LogThrottle;
 use crate::operator::control_socket;
@@ -23,6 +25,11 @@
 use crate::state::RouterState;
 use crate::upstream::{EndpointPool, MemoryBudget};
 
+/// The key of the fronts file of the gRPC listener for proxies, also its name in the log.
+const EXTERNAL_PROCESSING: &str = "external_processing";
+/// The key of the fronts file of the plain HTTP listener for proxies, also its name in the log.
+const PLAIN_CALL: &str = "call";
+
 /// Creates the state that all tasks share, and applies the initial events of the configuration.
 pub fn create_state(
     executor: &Rc<LocalExecutor<'static>>,
@@ -60,6 +67,8 @@
         signed_urls,
         in_flight_ids,
         endpoints: EndpointPool::new(limits.upstream),
+        listeners: Rc::default(),
+        unwritten_replies: Rc::default(),
         memory: MemoryBudget::new(limits.max_buffered_bytes),
         overload_log: LogThrottle::default(),
         malformed_log: LogThrottle::default(),
@@ -74,8 +83,9 @@
 /// Returns the limits, with the connections reserved for proxies subtracted from those for clients.
 fn limits_with_proxies(mut limits: Limits, fronts: &Fronts) -> Limits {
     if fronts.external_processing.is_some() || fronts.call.is_some() {
-        let remaining = limits.client.max_connections.saturating_sub(limits.proxy.max_connections);
-        limits.client.max_connections = remaining.max(1);
+        let connections = &mut limits.client.connections;
+        let remaining = connections.max_connections.saturating_sub(limits.proxy.connections.max_connections);
+        connections.max_connections = remaining.max(1);
     }
     limits
 }
@@ -132,19 +142,34 @@
     events.into_iter().for_each(|event| apply_event(state, event));
 }
 
+/// Starts to accept connections on a bound socket.
+pub fn start_listener<H: ConnectionHandler + 'static>(
+    state: &Rc<RouterState>,
+    name: &'static str,
+    handler: H,
+    socket: Async<H::Listener>,
+    limits: ConnectionLimits,
+) -> RunningListener {
+    let table = state.listeners.add(name, limits);
+    let registry = Rc::clone(&state.listeners);
+    let acceptor = Rc::new(Acceptor::new(handler, socket, table, registry, state.limits.poll_interval));
+    let running = Rc::clone(&acceptor);
+    let task = state.executor.spawn(async move { running.run().await });
+    RunningListener { acceptor, task }
+}
+
 /// Starts the listeners for external proxies that the fronts file configures.
 pub fn listen_for_proxies(state: &Rc<RouterState>, fronts: Fronts) -> Result<()> {
+    let limits = state.limits.proxy.connections;
     if let Some(front) = fronts.external_processing {
-        let listener = bind_front("external_processing", front.listen)?;
-        let names = Rc::new(front.headers);
-        let serve = move |state, stream| grpc::serve_connection(state, stream, Rc::clone(&names));
-        state.executor.spawn(listener::accept_connections(Rc::clone(state), listener, serve)).detach();
+        let socket = bind_front(EXTERNAL_PROCESSING, front.listen)?;
+        let handler = GrpcHandler::new(Rc::clone(state), front.headers);
+        start_listener(state, EXTERNAL_PROCESSING, handler, socket, limits).task.detach();
     }
     if let Some(front) = fronts.call {
-        let listener = bind_front("call", front.listen)?;
-        let names = Rc::new(front.headers);
-        let serve = move |state, stream| http::serve_connection(state, stream, Rc::clone(&names));
-        state.executor.spawn(listener::accept_connections(Rc::clone(state), listener, serve)).detach();
+        let socket = bind_front(PLAIN_CALL, front.listen)?;
+        let handler = PlainHandler::new(Rc::clone(state), front.headers);
+        start_listener(state, PLAIN_CALL, handler, socket, limits).task.detach();
     }
     Ok(())
 }
@@ -163,6 +188,8 @@
     let external = Rc::clone(&state.external);
     state.executor.spawn(async move { external.run_timers().await }).detach();
     state.executor.spawn(sweep_idle_connections(Rc::clone(state))).detach();
+    let (listeners, interval) = (Rc::clone(&state.listeners), state.limits.report_interval);
+    state.executor.spawn(async move { listeners.run_reports(interval).await }).detach();
 }
 
 async fn sweep_idle_connections(state: Rc<RouterState>) {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,6 +10,7 @@
 use tindoor_request_runtime::{EngineHandle, InFlightIds};
 
 use crate::configuration::limits::Limits;
+use crate::connections::ListenerRegistry;
 use crate::external::ExternalProcessing;
 use crate::fleet::Fleet;
 use crate::log_throttle::LogThrottle;
@@ -40,9 +41,13 @@
     pub in_flight_ids: InFlightIds,
     /// The endpoints and the connections to them.
     pub endpoints: EndpointPool,
+    /// The connections of all listeners.
+    pub listeners: Rc<ListenerRegistry>,
+    /// The number of unwritten replies on all client connections together.
+    pub unwritten_replies: Rc<Cell<usize>>,
     /// The memory budget for frames and bodies.
     pub memory: Rc<MemoryBudget>,
-    /// Throttles the log of requests and connections rejected for lack of capacity.
+    /// Throttles the log of requests rejected for lack of capacity.
     pub overload_log: LogThrottle,
     /// Throttles the log of messages that could not be parsed.
     pub malformed_log: LogThrottle,
--- a/crates/router/tests/unit/downstream_connections.rs
+++ b/crates/router/tests/unit/downstream_connections.rs
@@ -1,4 +1,4 @@
-//! Selecting connections to close, and closing them.
+//! Selecting clients' connections to close, and closing them.
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -9,7 +9,8 @@
 use tindoor_thrift::aborted;
 
 use super::*;
-use crate::configuration::limits::{LimitInputs, Limits};
+use crate::configuration::limits::{ClientLimits, ConnectionLimits, LimitInputs, Limits};
+use crate::connections::{ListenerRegistry, discard_until_closed, half_close};
 use crate::downstream::frame_reader::FrameReader;
 
 /// A frame of one byte.
@@ -27,6 +28,16 @@
     Limits::new(LimitInputs::default()).client
 }
 
+/// Closes one of these connections to make room; returns false if none can be closed.
+fn close_one(connections: &[&Rc<Connection>], limits: ConnectionLimits) -> bool {
+    let table = ListenerRegistry::default().add("clients", limits);
+    for connection in connections {
+        let connection: Rc<dyn ManagedConnection> = Rc::<Connection>::clone(connection);
+        table.add(&connection);
+    }
+    table.close_one()
+}
+
 #[test]
 fn a_connection_is_not_idle_while_its_reply_is_written() {
     let (connection, _client) = connect();
@@ -42,7 +53,7 @@
     let (connection, mut client) = connect();
     client.write_all(&FRAME).unwrap();
     async_io::block_on(connection.stream.readable()).unwrap();
-    assert!(!close_idle_connection(&[Rc::clone(&connection)], &limits()));
+    assert!(!close_one(&[&connection], limits().connections));
     assert_eq!(connection.phase(), Phase::Open);
     let mut frames = FrameReader::new(&connection, limits());
     assert!(async_io::block_on(frames.next_frame()).unwrap().is_some(), "the call is still read");
@@ -51,21 +62,21 @@
 #[test]
 fn bytes_that_arrive_after_the_close_are_dropped_without_a_reset() {
     let (connection, mut client) = connect();
-    assert!(close_idle_connection(&[Rc::clone(&connection)], &limits()));
+    assert!(close_one(&[&connection], limits().connections));
     client.write_all(&FRAME).unwrap();
     async_io::block_on(connection.stream.readable()).unwrap();
     let mut frames = FrameReader::new(&connection, limits());
     assert!(async_io::block_on(frames.next_frame()).unwrap().is_none(), "frames are no longer read");
     assert_eq!(client.read(&mut [0]).unwrap(), 0, "the connection ends without a reset");
     client.shutdown(std::net::Shutdown::Write).unwrap();
-    async_io::block_on(connection.discard_until_closed(64)).unwrap();
+    async_io::block_on(discard_until_closed(&connection.state, &connection.stream, 64)).unwrap();
 }
 
 #[test]
-fn an_incomplete_first_frame_prevents_eviction_only_until_the_first_call_timeout() {
+fn an_incomplete_first_frame_prevents_eviction_only_until_the_first_message_timeout() {
     let (active, mut active_client) = connect();
     let (fresh, mut fresh_client) = connect();
-    active.record_frame(Instant::now());
+    active.state.record_message(Instant::now());
     for client in [&mut active_client, &mut fresh_client] {
         client.write_all(&[0, 0, 0, 9, 7]).unwrap();
     }
@@ -76,22 +87,26 @@
         // Polls several times, so that the reader reads what has arrived and waits for the rest.
         (0..4).for_each(|_| assert!(async_io::block_on(future::poll_once(next.as_mut())).is_none()));
     }
-    let connections = [Rc::clone(&active), Rc::clone(&fresh)];
-    let long_timeout = ClientLimits { first_call_timeout: Duration::from_secs(3600), ..limits() };
-    assert!(!close_idle_connection(&connections, &long_timeout), "both may be sending a call");
-    let no_timeout = ClientLimits { first_call_timeout: Duration::ZERO, ..limits() };
-    assert!(close_idle_connection(&connections, &no_timeout));
+    let connections = [&active, &fresh];
+    let with_timeout =
+        |first_message_timeout| ConnectionLimits { first_message_timeout, ..limits().connections };
+    let long_timeout = with_timeout(Duration::from_secs(3600));
+    assert!(!close_one(&connections, long_timeout), "both may be sending a call");
+    assert!(close_one(&connections, with_timeout(Duration::ZERO)));
     assert_eq!([active.phase(), fresh.phase()], [Phase::Open, Phase::HalfClosed]);
 }
 
 #[test]
 fn a_half_closed_connection_is_ended_only_after_the_minimum_linger_time() {
     let (connection, _client) = connect();
-    assert!(!connection.end_if_lingered(Duration::ZERO), "the connection is open");
-    connection.half_close();
-    assert!(!connection.end_if_lingered(Duration::from_secs(3600)));
-    assert!(connection.end_if_lingered(Duration::ZERO));
-    async_io::block_on(connection.discard_until_closed(64)).unwrap();
+    connection.end_if_lingered(Duration::ZERO);
+    assert_eq!(connection.phase(), Phase::Open);
+    half_close(&*connection);
+    connection.end_if_lingered(Duration::from_secs(3600));
+    assert_eq!(connection.phase(), Phase::HalfClosed);
+    connection.end_if_lingered(Duration::ZERO);
+    assert_eq!(connection.phase(), Phase::Ended);
+    async_io::block_on(discard_until_closed(&connection.state, &connection.stream, 64)).unwrap();
 }
 
 #[test]
