Serve the calls that cross the close of a gRPC connection after a minute without calls

Cause: `close_idle` sent both GOAWAY frames but drove the connection on by `poll_closed`, which accepts no streams: the library counts them as received, nobody serves them.

Change: the close after a minute is the one that makes room: announced, what crosses it is served, and the final GOAWAY frame names what was.

--- a/crates/router/src/external/grpc/connection.rs
+++ b/crates/router/src/external/grpc/connection.rs
@@ -97,9 +97,6 @@
                 executor.spawn(task).detach();
             }
             Event::CloseRequested => connection.announce_close(limits),
-            Event::TimerFired if connection.is_idle_for_too_long(limits) => {
-                return with_timeout(limits.frame_timeout, connection.close_idle()).await;
-            }
             Event::TimerFired => connection.timer_fired(limits),
             Event::CloseDue => {
                 return with_timeout(router.limits.shutdown.final_write_timeout, connection.finish()).await;
@@ -169,22 +166,13 @@
             self.proxy.request_finish();
         } else if self.proxy.is_busy() {
             self.timer.set_after(limits.idle_timeout);
+        } else if time_remaining.is_zero() {
+            self.proxy.begin_close();
         } else {
             self.timer.set_after(time_remaining);
         }
     }
 
-    fn is_idle_for_too_long(&self, limits: &ProxyLimits) -> bool {
-        !self.is_close_announced
-            && !self.proxy.is_busy()
-            && self.proxy.state().idle_time() >= limits.idle_timeout
-    }
-
-    async fn close_idle(mut self) -> io::Result<()> {
-        self.http2.graceful_shutdown();
-        future::poll_fn(|context| self.http2.poll_closed(context)).await.map_err(io::Error::other)
-    }
-
     /// Sends the final GOAWAY frame without waiting any longer for the proxy: streams that arrive later are
     /// not run, and the proxy knows that from the frame.
     async fn finish(mut self) -> io::Result<()> {
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -19,6 +19,8 @@
 /// More connections than the router accepts on any of its listeners.
 const MANY: u64 = 30;
 
+/// The time within which a connection without calls is closed.
+const LONGEST_REST: Duration = Duration::from_secs(130);
 /// How often a proxy makes a call that is refused, and the time between.
 const MAX_ATTEMPTS: u64 = 10;
 const RETRY_BACKOFF: Duration = Duration::from_millis(100);
@@ -260,6 +262,25 @@
     assert!(first.ends_in_order(ANSWER_TIMEOUT), "without a reset");
 }
 
+// Guards against the same for the close of a connection that has been idle for a minute.
+#[test]
+fn a_call_that_crosses_the_close_of_a_connection_without_calls_is_answered() {
+    let fixture = fixture(&[Front::Grpc], DESCRIPTORS, serve);
+    let mut proxy = Http2Client::connect(fixture.router.front("external_processing"));
+    proxy.answers_pings = false;
+    let stream = proxy.call(1);
+    assert_eq!(proxy.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Answered);
+    proxy.report(stream);
+    proxy.end_stream(stream);
+    assert_eq!(proxy.next_goaway(LONGEST_REST), Some(ANNOUNCED));
+    let stream = proxy.call(2);
+    assert_eq!(proxy.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Answered);
+    proxy.report(stream);
+    proxy.end_stream(stream);
+    assert_eq!(proxy.next_goaway(ANSWER_TIMEOUT), Some(stream));
+    assert!(proxy.ends_in_order(ANSWER_TIMEOUT));
+}
+
 // Guards against a call that arrives too late and is neither run nor named as not run.
 #[test]
 fn a_call_after_the_final_goaway_frame_is_not_run() {
