Refuse connections for which no room can be made, at every listener

What callers saw: with every connection of a listener in use (an open call or stream on each), a call on a further one waited for as long as they were: up to 60 s, without an answer. The listener for clients, too.

Cause: at the limit a listener waited without end.

Change: a connection that waits is refused once all others have been in use for 0.4 s, or once connections have been waiting for 2 s without a pause while others are closed for them; 0.4 s is under the half second by which an answer may be late. Over gRPC: SETTINGS and GOAWAY with last stream 0; plain HTTP: 503 with the engine's Retry-After and `connection: close`; clients: closed unread. No call on it is run. A log line and a count by listener say so.

--- a/crates/router/src/configuration/limits.rs
+++ b/crates/router/src/configuration/limits.rs
@@ -97,6 +97,10 @@
     pub linger_timeout: Duration,
     /// The minimum linger time, which applies if the connection limit is reached.
     pub min_linger: Duration,
+    /// How long all connections may be in use before those that wait to be accepted are refused.
+    pub max_blocked_time: Duration,
+    /// How long connections may wait to be accepted while others are closed for them, before they are refused.
+    pub max_queue_time: Duration,
 }
 
 /// Limits of client connections and calls.
@@ -292,6 +296,8 @@
             first_message_timeout: Duration::from_millis(250),
             linger_timeout: Duration::from_secs(1),
             min_linger: Duration::from_millis(60),
+            max_blocked_time: Duration::from_millis(400),
+            max_queue_time: Duration::from_secs(2),
         }
     }
 }
--- a/crates/router/src/connections/acceptor.rs
+++ b/crates/router/src/connections/acceptor.rs
@@ -28,6 +28,9 @@
     /// Starts to serve a connection.
     fn serve(&self, stream: Self::Stream) -> io::Result<Rc<dyn ManagedConnection>>;
 
+    /// Refuses a connection for which there is no room. No call on it is run.
+    fn refuse(&self, stream: Self::Stream);
+
     /// Releases what else holds descriptors, after an accept has failed.
     fn accept_failed(&self) {}
 }
@@ -50,6 +53,7 @@
     waiting: RefCell<Option<H::Stream>>,
     poll_interval: Duration,
     failure_log: LogThrottle,
+    refusal_log: LogThrottle,
 }
 
 impl<H: ConnectionHandler> Acceptor<H> {
@@ -69,6 +73,7 @@
             waiting: RefCell::new(None),
             poll_interval,
             failure_log: LogThrottle::default(),
+            refusal_log: LogThrottle::default(),
         }
     }
 
@@ -107,13 +112,29 @@
         Timer::after(self.poll_interval).await;
     }
 
-    /// Serves the waiting connection once there is room for it.
+    /// Serves the waiting connection once there is room for it. Refuses it if connections have been waiting
+    /// for too long: a call on it could no longer be answered in time.
     async fn admit_waiting(&self) {
-        while self.table.make_room() != Room::Available {
-            self.table.metrics.record_waiting();
+        loop {
+            let room = self.table.make_room();
+            if room == Room::Available {
+                return self.serve_waiting();
+            }
+            if self.has_waited_too_long(room) {
+                return self.refuse_waiting();
+            }
             self.wait_poll_interval().await;
         }
-        self.serve_waiting();
+    }
+
+    fn has_waited_too_long(&self, room: Room) -> bool {
+        let ConnectionTable { metrics, limits, .. } = &*self.table;
+        let waiting_time = metrics.record_waiting();
+        if room == Room::Unavailable {
+            return metrics.record_blocked() >= limits.max_blocked_time;
+        }
+        metrics.record_unblocked();
+        waiting_time >= limits.max_queue_time
     }
 
     fn serve_waiting(&self) {
@@ -129,6 +150,24 @@
         }
     }
 
+    fn refuse_waiting(&self) {
+        let Some(stream) = self.waiting.take() else { return };
+        self.table.metrics.record_refused();
+        if let Some(times) = self.refusal_log.record() {
+            let counts = self.table.counts();
+            let (listener, max) = (self.table.listener, self.table.limits.max_connections);
+            tracing::warn!(
+                listener,
+                max,
+                open = counts.open,
+                closing = counts.closing,
+                times,
+                "connection refused: all connections of the listener are in use"
+            );
+        }
+        self.handler.refuse(stream);
+    }
+
     /// Releases descriptors after an accept has failed, and waits for the poll interval.
     async fn recover(&self, error: &io::Error) {
         if let Some(times) = self.failure_log.record() {
--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -66,6 +66,11 @@
         Ok(connection)
     }
 
+    /// Closes the connection unread: the protocol has no reply to a call that was not read.
+    fn refuse(&self, stream: TcpStream) {
+        drop(stream);
+    }
+
     fn accept_failed(&self) {
         self.state.endpoints.sweep_idle();
     }
--- a/crates/router/src/external/connection.rs
+++ b/crates/router/src/external/connection.rs
@@ -2,8 +2,8 @@
 
 use std::cell::Cell;
 use std::future;
-use std::io;
-use std::net::TcpStream;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -18,6 +18,10 @@
 };
 use crate::timeout::with_timeout;
 
+/// How many reads of `REFUSAL_READ_BYTES` discard what has arrived on a refused connection.
+const MAX_REFUSAL_READS: usize = 4;
+const REFUSAL_READ_BYTES: usize = 16 << 10;
+
 /// How the router closes an idle connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseMethod {
@@ -180,3 +184,21 @@
         tracing::debug!(%error, "connection of an external proxy ended with an error");
     }
 }
+
+/// Refuses a connection: sends a reply that says that no call on it is run, and closes it. What has arrived is
+/// discarded first, as closing with unread bytes would reset the connection before the reply is read.
+pub fn refuse(mut stream: TcpStream, reply: &[u8]) {
+    if stream.set_nonblocking(true).is_err() {
+        return;
+    }
+    let mut discarded = [0; REFUSAL_READ_BYTES];
+    for _ in 0..MAX_REFUSAL_READS {
+        if stream.read(&mut discarded).is_ok_and(|size| size == discarded.len()) {
+            continue;
+        }
+        break;
+    }
+    // A new connection's send buffer has space for the reply.
+    let _ = stream.write(reply);
+    let _ = stream.shutdown(Shutdown::Write);
+}
--- a/crates/router/src/external/grpc/connection.rs
+++ b/crates/router/src/external/grpc/connection.rs
@@ -26,8 +26,17 @@
 
 /// An HTTP/2 GOAWAY frame without an error, which says that no stream was processed.
 const GO_AWAY: [u8; 17] = [0, 0, 8, 7, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
+/// An empty HTTP/2 SETTINGS frame, with which a server's side of a connection begins.
+const SETTINGS: [u8; 9] = [0, 0, 0, 4, 0, 0, 0, 0, 0];
+
 type Http2 = server::Connection<Compat<ProxySocket>, Bytes>;
 
+/// Returns what is sent on a connection that is refused: no stream was processed, and each may be retried on
+/// another connection.
+pub fn refusal() -> Vec<u8> {
+    [&SETTINGS[..], &GO_AWAY].concat()
+}
+
 /// Serves one connection until either side closes it.
 pub async fn serve(
     router: &Rc<RouterState>,
--- a/crates/router/src/external/grpc/mod.rs
+++ b/crates/router/src/external/grpc/mod.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, Method, Request, Response};
 use tindoor_extproc::request::HeaderNames;
 
-use super::connection::{CloseMethod, ProxyConnection, log_end};
+use super::connection::{CloseMethod, ProxyConnection, log_end, refuse};
 use crate::connections::{ConnectionHandler, ManagedConnection};
 use crate::state::RouterState;
 use stream::{GrpcStatus, MessageStream, StreamEnd};
@@ -51,6 +51,10 @@
         Ok(proxy)
     }
 
+    fn refuse(&self, stream: TcpStream) {
+        refuse(stream, &connection::refusal());
+    }
+
     fn accept_failed(&self) {
         self.router.endpoints.sweep_idle();
     }
--- a/crates/router/src/external/http/mod.rs
+++ b/crates/router/src/external/http/mod.rs
@@ -11,12 +11,12 @@
 use std::time::Instant;
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use tindoor_external_requests::{CallId, CallReply};
+use tindoor_external_requests::{CallId, CallReply, RefusalReason};
 use tindoor_extproc::request::{HeaderNames, Headers, read_report};
 use tindoor_extproc::response::{self, FinalResponse, HeaderField};
 
 use super::call::Call;
-use super::connection::{CloseMethod, ProxyConnection, log_end};
+use super::connection::{CloseMethod, ProxyConnection, log_end, refuse};
 use super::request::{CheckedRequest, bad_request, final_response, final_response_to_request, read_request};
 use super::target;
 use crate::connections::{ConnectionHandler, ManagedConnection, Phase};
@@ -59,6 +59,12 @@
         Ok(proxy)
     }
 
+    fn refuse(&self, stream: TcpStream) {
+        let retry_after = self.router.engine.retry_after();
+        let rejection = final_response(&CallReply::Rejected(retry_after, RefusalReason::NoCapacity));
+        refuse(stream, encode_response(&rejection, true).as_bytes());
+    }
+
     fn accept_failed(&self) {
         self.router.endpoints.sweep_idle();
     }
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -72,6 +72,10 @@
     Behavior::Respond(served(b"x"))
 }
 
+fn hang(_: &ReceivedRequest) -> Behavior {
+    Behavior::Hang
+}
+
 impl Fixture {
     fn wait_for_log(&self, text: &str) {
         let is_logged = |log: &mut Vec<String>| log.iter().any(|line| line.contains(text)).then_some(());
@@ -249,6 +253,78 @@
     panic!("{front:?} call {correlation_id} was refused each time");
 }
 
+// Guards against a further connection that waits for as long as all others are in use.
+#[test]
+fn a_proxy_is_refused_while_all_connections_are_in_use() {
+    let fixture = fixture(&[Front::Grpc], DESCRIPTORS, serve);
+    let mut busy = Vec::new();
+    for correlation_id in 1..=5 {
+        let mut client = Http2Client::connect(fixture.router.front("external_processing"));
+        let stream = client.call(correlation_id);
+        assert_eq!(client.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Answered);
+        // The stream stays open, as while the proxy passes on the body.
+        client.report(stream);
+        assert_eq!(client.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Answered);
+        busy.push((client, stream));
+    }
+    for correlation_id in 10..16 {
+        let end = Proxy::connect(&fixture, Front::Grpc).call(correlation_id);
+        assert_eq!(end, CallEnd::NotRun, "a GOAWAY frame that names no stream");
+    }
+    let (mut client, stream) = busy.pop().unwrap();
+    client.end_stream(stream);
+    assert_eq!(client.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Ended);
+    let mut further = Http2Client::connect(fixture.router.front("external_processing"));
+    let stream = further.call(20);
+    assert_eq!(further.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Answered, "a connection is idle again");
+}
+
+// Guards against the same over plain HTTP, where calls that wait for the end of a write hold connections.
+#[test]
+fn a_proxy_gets_an_answer_while_all_connections_wait_for_the_end_of_a_write() {
+    let fixture = fixture(&[Front::Plain], DESCRIPTORS, serve);
+    let write = |correlation_id: u64| {
+        let head = format!("GET /v1/store/saves/{OBJECT}/0 HTTP/1.1\r\nx-ticket: {correlation_id:016x}");
+        format!("{head}\r\nx-max-ms: 3000\r\nx-nonce: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n\r\n")
+    };
+    let mut connections = Vec::new();
+    for correlation_id in 1..=6 {
+        let mut stream = TcpStream::connect(fixture.router.front("call")).unwrap();
+        stream.write_all(write(correlation_id).as_bytes()).unwrap();
+        if correlation_id == 1 {
+            assert_eq!(status(&mut stream), Some(200));
+        }
+        connections.push(stream);
+    }
+    for correlation_id in 10..14 {
+        let end = Proxy::connect(&fixture, Front::Plain).call(correlation_id);
+        assert!(matches!(end, CallEnd::Answered | CallEnd::NotRun), "{end:?}");
+    }
+}
+
+// Guards against the same at the listener for clients.
+#[test]
+fn a_client_is_refused_while_all_connections_have_open_calls() {
+    let fixture = fixture(&[], DESCRIPTORS, hang);
+    let mut busy: Vec<_> = (0..21).map(|_| Client::connect(&fixture.router)).collect();
+    let page = page(OBJECT, "60000");
+    for (seq, client) in (1..).zip(&mut busy) {
+        client.send(&call(seq, &page, b""));
+    }
+    fixture.cache.requests(1);
+    for _ in 0..4 {
+        let mut client = Client::connect(&fixture.router);
+        client.send(&call(1, &page, b""));
+        client.0.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+        let received = client.0.read(&mut [0]);
+        let is_closed = match &received {
+            Ok(size) => *size == 0,
+            Err(error) => error.kind() == ErrorKind::ConnectionReset,
+        };
+        assert!(is_closed, "the connection is closed unread: {received:?}");
+    }
+}
+
 // Guards against a call that crosses the close of an idle connection and is never answered.
 #[test]
 fn a_call_that_crosses_an_announced_close_is_answered() {
--- a/crates/router/tests/unit/connection_table.rs
+++ b/crates/router/tests/unit/connection_table.rs
@@ -42,6 +42,8 @@
         first_message_timeout: Duration::ZERO,
         linger_timeout: Duration::from_secs(3600),
         min_linger: Duration::ZERO,
+        max_blocked_time: Duration::from_secs(3600),
+        max_queue_time: Duration::from_secs(3600),
     }
 }
 
