Close the connections of proxies in order at shutdown

What callers saw: at the end of the process the connections of proxies ended as a whole. A call that crossed the end got neither an answer nor a GOAWAY frame.

Cause: the shutdown knew the connections of clients alone.

Change: it closes those of all listeners that carry calls. Over gRPC each gets GOAWAY in two steps; a call that crosses the first is served. What waits in a listener's accept queue is accepted and answered, as for clients. A stream that a proxy leaves open keeps the router until the deadline of the shutdown, as a client's call does.

--- a/crates/router/src/external/connection.rs
+++ b/crates/router/src/external/connection.rs
@@ -123,11 +123,6 @@
         self.request_finish();
     }
 
-    /// Connections of proxies end with the process.
-    fn closes_at_shutdown(&self) -> bool {
-        false
-    }
-
     fn accepts_calls(&self) -> bool {
         match self.close_method {
             CloseMethod::HalfClose => self.state.phase() == Phase::Open,
--- a/crates/router/src/server/mod.rs
+++ b/crates/router/src/server/mod.rs
@@ -67,11 +67,12 @@
         socket,
         state.limits.client.connections,
     );
-    startup::listen_for_proxies(&state, fronts)?;
+    let mut listeners = vec![clients];
+    listeners.extend(startup::listen_for_proxies(&state, fronts)?);
     startup::spawn_timers(&state);
     tracing::info!(name = configuration.name, %bound, "ready");
     while stop_signals.next().await.is_some_and(|signal| signal.is_err()) {}
-    Shutdown { state: &state }.run(vec![clients]).await;
+    Shutdown { state: &state }.run(listeners).await;
     Ok(())
 }
 
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -159,19 +159,20 @@
 }
 
 /// Starts the listeners for external proxies that the fronts file configures.
-pub fn listen_for_proxies(state: &Rc<RouterState>, fronts: Fronts) -> Result<()> {
+pub fn listen_for_proxies(state: &Rc<RouterState>, fronts: Fronts) -> Result<Vec<RunningListener>> {
     let limits = state.limits.proxy.connections;
+    let mut listeners = Vec::new();
     if let Some(front) = fronts.external_processing {
         let socket = bind_front(EXTERNAL_PROCESSING, front.listen)?;
         let handler = GrpcHandler::new(Rc::clone(state), front.headers);
-        start_listener(state, EXTERNAL_PROCESSING, handler, socket, limits).task.detach();
+        listeners.push(start_listener(state, EXTERNAL_PROCESSING, handler, socket, limits));
     }
     if let Some(front) = fronts.call {
         let socket = bind_front(PLAIN_CALL, front.listen)?;
         let handler = PlainHandler::new(Rc::clone(state), front.headers);
-        start_listener(state, PLAIN_CALL, handler, socket, limits).task.detach();
+        listeners.push(start_listener(state, PLAIN_CALL, handler, socket, limits));
     }
-    Ok(())
+    Ok(listeners)
 }
 
 fn bind_front(key: &str, listen: SocketAddr) -> Result<Async<TcpListener>> {
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -408,6 +408,50 @@
     (first, proxies)
 }
 
+// Guards against a shutdown that ends the connections of proxies as a whole, with the calls that cross it.
+#[test]
+fn connections_of_proxies_are_closed_in_order_at_shutdown() {
+    let mut fixture = fixture(&FRONTS, 256, serve);
+    let mut grpc: Vec<_> =
+        (1..=5).map(|_| Http2Client::connect(fixture.router.front("external_processing"))).collect();
+    for (correlation_id, proxy) in (1..).zip(&mut grpc) {
+        let stream = proxy.call(correlation_id);
+        assert_eq!(proxy.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Answered);
+        proxy.report(stream);
+        proxy.end_stream(stream);
+    }
+    let mut plain = Proxy::connect(&fixture, Front::Plain);
+    assert_eq!(plain.call(11), CallEnd::Answered);
+    fixture.router.terminate();
+    fixture.wait_for_log("stopping");
+    let mut silent = grpc.pop().unwrap();
+    silent.answers_pings = false;
+    assert_eq!(silent.next_goaway(ANSWER_TIMEOUT), Some(ANNOUNCED));
+    let stream = silent.call(20);
+    assert_eq!(silent.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Answered, "a call that crosses the close");
+    silent.report(stream);
+    silent.end_stream(stream);
+    assert_eq!(silent.next_goaway(ANSWER_TIMEOUT), Some(stream));
+    assert!(silent.ends_in_order(ANSWER_TIMEOUT));
+    for mut proxy in grpc {
+        assert_eq!(proxy.next_goaway(ANSWER_TIMEOUT), Some(ANNOUNCED));
+        assert_eq!(proxy.next_goaway(ANSWER_TIMEOUT), Some(1));
+        assert!(proxy.ends_in_order(ANSWER_TIMEOUT));
+    }
+    let Proxy::Plain(plain) = plain else { unreachable!("a connection over plain HTTP") };
+    assert_eq!(end_of_wait(&plain), CallEnd::Closed);
+    assert!(fixture.router.wait().success());
+}
+
+/// Waits until a connection on which nothing is expected ends.
+fn end_of_wait(stream: &TcpStream) -> CallEnd {
+    stream.set_read_timeout(Some(ANSWER_TIMEOUT)).unwrap();
+    match stream.peek(&mut [0]) {
+        Ok(0) => CallEnd::Closed,
+        _ => CallEnd::Nothing,
+    }
+}
+
 // Guards against the same fault while discovery is down and while the configuration is reloaded.
 #[test]
 fn resting_proxies_make_room_while_discovery_is_down_and_during_a_reload() {
