Keep the listeners for clients and for proxies together within a third of the descriptors

What happened: with both listeners for proxies on, each had a twelfth of the descriptors and only one twelfth was taken from the clients' third. With 512 descriptors and hanging caches the router held 541.

Change: `Limits::with_listeners` takes each listener's connections from those that use them otherwise.

Evidence: `all_listeners_together_stay_within_the_descriptors` failed with the program before (541 of 512).

--- a/crates/router/src/configuration/limits.rs
+++ b/crates/router/src/configuration/limits.rs
@@ -52,6 +52,13 @@
     pub warm_up: Duration,
 }
 
+/// The listeners beside the one for clients.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ExtraListeners {
+    /// The number of listeners for proxies.
+    pub for_proxies: usize,
+}
+
 /// All limits of the router.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -269,6 +276,15 @@
         }
     }
 
+    /// Returns the limits with the descriptors of further listeners taken from those that use them otherwise, so
+    /// that all together stay within the descriptors of the process.
+    pub fn with_listeners(mut self, listeners: ExtraListeners) -> Self {
+        let for_proxies = listeners.for_proxies * self.proxy.connections.max_connections;
+        let for_clients = self.client.connections.max_connections.saturating_sub(for_proxies).max(1);
+        self.client.connections = ConnectionLimits::new(for_clients, for_clients / CLIENT_RESERVE_DIVISOR);
+        self
+    }
+
     /// Returns the limits of the table of externally processed requests. `grace` is the shortest grace period
     /// and `window` the longest idempotency window of the deployment. A proxy must use a decision within half
     /// the grace period; the other half is the time for a drain or purge to reach this router.
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -13,7 +13,7 @@
 use tindoor_request_runtime::{AdmissionGate, EngineHandle, InFlightIds};
 
 use super::shutdown::RunningListener;
-use crate::configuration::limits::{ConnectionLimits, Limits, PeerLimits};
+use crate::configuration::limits::{ConnectionLimits, ExtraListeners, Limits, PeerLimits};
 use crate::configuration::{Configuration, Fronts};
 use crate::connections::{Acceptor, ConnectionHandler};
 use crate::discovery::apply_event;
@@ -36,7 +36,7 @@
     configuration: &mut Configuration,
     fronts: &mut Fronts,
 ) -> Result<Rc<RouterState>> {
-    let limits = limits_with_proxies(configuration.limits, fronts);
+    let limits = configuration.limits.with_listeners(extra_listeners(fronts));
     // Seeds the generator of the reconnect jitter. The routing engine has its own generator.
     fastrand::seed(configuration.seed);
     let engine = Rc::new(EngineHandle::start(configuration.engine_settings.clone(), configuration.seed));
@@ -80,14 +80,10 @@
     Ok(state)
 }
 
-/// Returns the limits, with the connections reserved for proxies subtracted from those for clients.
-fn limits_with_proxies(mut limits: Limits, fronts: &Fronts) -> Limits {
-    if fronts.external_processing.is_some() || fronts.call.is_some() {
-        let connections = &mut limits.client.connections;
-        let remaining = connections.max_connections.saturating_sub(limits.proxy.connections.max_connections);
-        connections.max_connections = remaining.max(1);
-    }
-    limits
+/// Returns which listeners the fronts file switches on.
+fn extra_listeners(fronts: &Fronts) -> ExtraListeners {
+    let for_proxies = [&fronts.external_processing, &fronts.call];
+    ExtraListeners { for_proxies: for_proxies.into_iter().flatten().count() }
 }
 
 /// Joins the fleet that the fronts file configures, if any, and makes it the gate that admits requests.
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -3,13 +3,15 @@
 
 #[path = "support/http2.rs"]
 mod http2;
+mod support;
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http2::{ANNOUNCED, CallEnd, Http2Client};
 use serde_json::{Value, json};
+use support::*;
 use tindoor_testbed::stand_in::*;
 
 /// The client's time of a call, and the time after it within which an answer is late and not lost.
@@ -469,3 +471,30 @@
     let _reloaded = FRONTS.map(|front| resting_proxies(&fixture, front, 500 + 1000 * front as u64));
     assert_eq!(next.wait_for_subscriptions(1), [1], "a descriptor is left for the change stream");
 }
+
+// Guards against limits of single listeners that exceed the descriptors of the process together.
+#[test]
+fn all_listeners_together_stay_within_the_descriptors() {
+    let allowed = 512;
+    let fixture = fixture(&FRONTS, allowed, hang);
+    let mut peak = 0;
+    let mut sample = || peak = descriptors(fixture.router.pid()).max(peak);
+    // More calls than the router may open connections to caches.
+    let mut clients: Vec<_> = (0..12).map(|_| Client::connect(&fixture.router)).collect();
+    for (index, client) in clients.iter_mut().enumerate() {
+        for seq in 1..=32 {
+            client.send(&call(seq, &page(&format!("{:016x}", index * 32 + seq as usize), "3000"), b""));
+        }
+    }
+    let mut others = Vec::new();
+    for _ in 0..150 {
+        others.push(Client::connect(&fixture.router).0);
+        others.extend(FRONTS.map(|front| TcpStream::connect(fixture.router.front(front.key())).unwrap()));
+        sample();
+    }
+    for client in &mut clients {
+        (0..32).for_each(|_| assert!(is_rejected_or_failed(&client.reply().1)));
+        sample();
+    }
+    assert!((300..=allowed).contains(&peak), "{peak} descriptors");
+}
