Accept the fleet's peers and the operators' commands by the same mechanism, within the descriptors

What happened: 96 connections from peers, 96 to peers and any number of operators' commands came on top of `limits.sockets`: 120 silent connections to the peers' listener, or 100 to the operators' socket, took a router with 64 descriptors over them. At 96 silent ones a peer's connection was dropped for up to 2 s.

Change: both listeners use `connections/`. An eighth of the descriptors, 96 at most, is for connections from peers and as many for those to peers, four for commands, taken from those for caches where a fleet is on. A connection without its first line or command in 250 ms makes room, as does a peer's without a message for 10 s; else a peer's connection is closed and a command is told to try again. A shutdown leaves them alone. A router therefore talks to 32 peers at a time with 256 descriptors, and to 96 with 768 or more.

Evidence: two tests, which failed with the program before (descriptors over 64).

--- a/crates/router/src/configuration/limits.rs
+++ b/crates/router/src/configuration/limits.rs
@@ -18,6 +18,12 @@
 /// One in this many connections of proxies is kept available for new proxies. Their connections take longer to
 /// close than those of clients, as the close is announced first.
 const PROXY_RESERVE_DIVISOR: usize = 4;
+/// One in this many file descriptors is for connections from peers, and one for connections to peers.
+const PEER_DESCRIPTORS_DIVISOR: usize = 8;
+/// The maximum number of connections from peers, and separately of connections to peers.
+const MAX_PEER_CONNECTIONS: usize = 96;
+/// The maximum number of operators' commands at a time.
+const OPERATOR_CONNECTIONS: usize = 4;
 /// The time from the first byte of a frame or request head to its last byte.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time for a client or proxy to accept all bytes of a reply.
@@ -57,6 +63,8 @@
 pub struct ExtraListeners {
     /// The number of listeners for proxies.
     pub for_proxies: usize,
+    /// Whether there is a listener for the other routers of a fleet.
+    pub for_peers: bool,
 }
 
 /// All limits of the router.
@@ -86,6 +94,8 @@
     pub proxy: ProxyLimits,
     /// Limits of externally processed requests.
     pub external: ExternalRequestLimits,
+    /// Limits of connections between the routers of a fleet.
+    pub peer: PeerLimits,
 }
 
 /// Limits of the connections of one listener.
@@ -273,6 +283,7 @@
             },
             proxy: ProxyLimits::new(client_connections, max_request_timeout),
             external: ExternalRequestLimits::new(),
+            peer: PeerLimits::new(inputs.descriptors),
         }
     }
 
@@ -282,6 +293,10 @@
         let for_proxies = listeners.for_proxies * self.proxy.connections.max_connections;
         let for_clients = self.client.connections.max_connections.saturating_sub(for_proxies).max(1);
         self.client.connections = ConnectionLimits::new(for_clients, for_clients / CLIENT_RESERVE_DIVISOR);
+        if listeners.for_peers {
+            let for_peers = self.peer.descriptors();
+            self.upstream.max_connections = self.upstream.max_connections.saturating_sub(for_peers).max(1);
+        }
         self
     }
 
@@ -404,11 +419,13 @@
     }
 }
 
-/// Limits of connections between the routers of a fleet.
+/// Limits of connections between the routers of a fleet, and of the operator's socket.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerLimits {
-    /// The maximum number of connections to peers, and separately of connections from peers.
-    pub max_connections: usize,
+    /// Limits of connections from peers. Connections to peers have the same maximum, separately.
+    pub connections: ConnectionLimits,
+    /// Limits of connections to the operator's socket.
+    pub operator_connections: ConnectionLimits,
     /// The maximum size of a message, in bytes.
     pub max_message_bytes: usize,
     /// The maximum size of the first line of a connection, in bytes.
@@ -425,10 +442,12 @@
     pub backoff: Duration,
 }
 
-impl Default for PeerLimits {
-    fn default() -> Self {
+impl PeerLimits {
+    fn new(descriptors: usize) -> Self {
+        let max_connections = (descriptors / PEER_DESCRIPTORS_DIVISOR).clamp(1, MAX_PEER_CONNECTIONS);
         Self {
-            max_connections: 96,
+            connections: ConnectionLimits::new(max_connections, 0),
+            operator_connections: ConnectionLimits::new(OPERATOR_CONNECTIONS, 0),
             max_message_bytes: 1 << 20,
             max_preface_bytes: 256,
             max_queued_messages: 128,
@@ -438,4 +457,9 @@
             backoff: Duration::from_millis(50),
         }
     }
+
+    /// Returns the number of descriptors that the fleet's connections use at most.
+    fn descriptors(&self) -> usize {
+        2 * self.connections.max_connections + self.operator_connections.max_connections
+    }
 }
--- a/crates/router/src/fleet/peers.rs
+++ b/crates/router/src/fleet/peers.rs
@@ -8,13 +8,16 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use socket2::SockRef;
 use tindoor_consensus::Envelope;
 
 use crate::configuration::limits::PeerLimits;
+use crate::connections::{ConnectionHandler, ConnectionState, ManagedConnection, Phase};
 use crate::log_throttle::LogThrottle;
 use crate::timeout::with_timeout;
 
@@ -127,7 +130,7 @@
     /// or if the maximum number of connections is reached; the maximum bounds the file descriptors in use.
     fn open_queue(self: &Rc<Self>, address: &str) -> Option<Rc<SendQueue>> {
         let socket_address: SocketAddr = address.parse().ok()?;
-        if self.queues.borrow().len() >= self.limits.max_connections {
+        if self.queues.borrow().len() >= self.limits.connections.max_connections {
             return None;
         }
         let queue = Rc::<SendQueue>::default();
@@ -186,34 +189,6 @@
         written.ok().map(|()| stream)
     }
 
-    /// Accepts connections from peers for as long as the router runs, and passes each message to `receive`.
-    pub async fn accept(
-        self: Rc<Self>,
-        listener: Async<TcpListener>,
-        receive: impl Fn(Envelope) + Clone + 'static,
-    ) {
-        let open = Rc::new(Cell::new(0usize));
-        loop {
-            future::yield_now().await;
-            let stream = match listener.accept().await {
-                Ok((stream, _)) if open.get() < self.limits.max_connections => stream,
-                _ => {
-                    Timer::after(self.limits.backoff).await;
-                    continue;
-                }
-            };
-            open.set(open.get() + 1);
-            let (peers, receive, open) = (Rc::clone(&self), receive.clone(), Rc::clone(&open));
-            let task = async move {
-                if let Err(error) = peers.read_connection(stream, receive).await {
-                    peers.log_malformed(&error);
-                }
-                open.set(open.get() - 1);
-            };
-            self.executor.spawn(task).detach();
-        }
-    }
-
     fn log_malformed(&self, error: &io::Error) {
         if error.kind() == io::ErrorKind::InvalidData
             && let Some(times) = self.malformed_log.record()
@@ -222,14 +197,23 @@
         }
     }
 
+    /// Reads messages from one connection until either side closes it.
+    async fn read_connection(&self, connection: &PeerConnection, receive: impl Fn(Envelope)) {
+        let closed = async {
+            connection.state.wait_for(Phase::Ended).await;
+            Ok(())
+        };
+        if let Err(error) = future::or(self.read_messages(connection, receive), closed).await {
+            self.log_malformed(&error);
+        }
+    }
+
     /// Reads messages from one connection, and passes each on once it is complete.
-    async fn read_connection(
-        &self,
-        mut stream: Async<TcpStream>,
-        receive: impl Fn(Envelope),
-    ) -> io::Result<()> {
+    async fn read_messages(&self, connection: &PeerConnection, receive: impl Fn(Envelope)) -> io::Result<()> {
         let limits = &self.limits;
+        let mut stream = &connection.stream;
         self.check_preface(&mut stream).await?;
+        connection.state.record_message(Instant::now());
         let mut length = [0; 4];
         loop {
             // Yields, so that a peer that sends continuously does not starve the others.
@@ -242,6 +226,7 @@
             }
             let mut bytes = vec![0; length];
             with_timeout(limits.write_timeout, stream.read_exact(&mut bytes)).await?;
+            connection.state.record_message(Instant::now());
             receive(
                 Envelope::from_bytes(&bytes)
                     .map_err(|_| invalid_data("frame can't be decoded as a message"))?,
@@ -250,7 +235,7 @@
     }
 
     /// Reads the preface, and checks that it has the protocol version and fleet name of this router.
-    async fn check_preface(&self, stream: &mut Async<TcpStream>) -> io::Result<()> {
+    async fn check_preface(&self, stream: &mut &Async<TcpStream>) -> io::Result<()> {
         let mut line = Vec::new();
         let read = async {
             let mut byte = [0];
@@ -270,6 +255,72 @@
     }
 }
 
+/// A connection accepted from a peer.
+struct PeerConnection {
+    stream: Async<TcpStream>,
+    state: ConnectionState,
+    /// The time without a message after which the connection may be closed to make room. Senders close their
+    /// side after the same time.
+    idle_timeout: Duration,
+}
+
+impl ManagedConnection for PeerConnection {
+    fn state(&self) -> &ConnectionState {
+        &self.state
+    }
+
+    fn socket(&self) -> SockRef<'_> {
+        SockRef::from(self.stream.get_ref())
+    }
+
+    fn is_busy(&self) -> bool {
+        self.state.has_sent_message() && self.state.idle_time() < self.idle_timeout
+    }
+
+    fn closes_at_shutdown(&self) -> bool {
+        false
+    }
+
+    /// Ends the connection at once. Its sender learns of that with the next message and connects again.
+    fn begin_close(&self) -> bool {
+        self.state.advance(Phase::Ended);
+        true
+    }
+
+    fn stop(&self) {}
+}
+
+/// Serves the connections of peers, and passes each message to `receive`.
+pub(super) struct PeerHandler<F> {
+    pub peers: Rc<Peers>,
+    pub receive: F,
+}
+
+impl<F: Fn(Envelope) + Clone + 'static> ConnectionHandler for PeerHandler<F> {
+    type Listener = TcpListener;
+    type Stream = TcpStream;
+
+    fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
+        listener.accept().map(|(stream, _)| stream)
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<Rc<dyn ManagedConnection>> {
+        let connection = Rc::new(PeerConnection {
+            stream: Async::new(stream)?,
+            state: ConnectionState::default(),
+            idle_timeout: self.peers.limits.idle_timeout,
+        });
+        let (peers, receive, served) = (Rc::clone(&self.peers), self.receive.clone(), Rc::clone(&connection));
+        let task = async move { peers.read_connection(&served, receive).await };
+        self.peers.executor.spawn(task).detach();
+        Ok(connection)
+    }
+
+    fn refuse(&self, stream: TcpStream) {
+        drop(stream);
+    }
+}
+
 /// Returns a preface without the sender's name.
 fn without_sender(preface: &str) -> &str {
     preface.rsplit_once(' ').map_or("", |(rest, _)| rest)
--- a/crates/router/src/fleet/runtime.rs
+++ b/crates/router/src/fleet/runtime.rs
@@ -21,15 +21,19 @@
 use super::admission::LatencyObjectives;
 use super::checks::FleetChecks;
 use super::clock::BootClock;
-use super::peers::{Peers, SentTraffic};
+use super::peers::{PeerHandler, Peers, SentTraffic};
 use super::replica_storage::ReplicaStorage;
 use super::transitions::{log_leadership, log_transition};
 use crate::configuration::FleetConfiguration;
 use crate::configuration::limits::PeerLimits;
+use crate::connections::{Acceptor, ListenerRegistry};
 
 /// The exit status of a process whose consensus node panicked.
 const NODE_FAILURE_EXIT_STATUS: i32 = 101;
 
+/// The name of the listener for peers in the log.
+const LISTENER: &str = "fleet";
+
 /// This router as a member of its fleet.
 pub struct Fleet {
     pub(super) node: RefCell<Node>,
@@ -69,6 +73,8 @@
     pub classes: Vec<String>,
     /// The limits of connections to peers.
     pub limits: PeerLimits,
+    /// All listeners of the router.
+    pub listeners: Rc<ListenerRegistry>,
     /// The maximum number of open requests if the policy does not set one.
     pub open_requests_limit: usize,
     /// Returns the number of requests in flight.
@@ -109,7 +115,7 @@
         let bound = listener.get_ref().local_addr().context("fleet.listen")?;
         let identity = process.identity(configuration, &router, bound);
         let (incarnation, replica_id) = (identity.incarnation, identity.replica_id);
-        tracing::info!(front = "fleet", at = %bound, %incarnation, replica_id, "listening");
+        tracing::info!(front = LISTENER, at = %bound, %incarnation, replica_id, "listening");
         let clock = BootClock::start();
         let random_seed = getrandom::u64().context("can't read a random seed from the system")?;
         let config = NodeConfig {
@@ -123,11 +129,13 @@
             random_seed,
         };
         let node = Node::start(config, clock.now().0).map_err(|error| anyhow!("fleet: {error}"))?;
-        let peers = Peers::new(Rc::clone(executor), router.limits, &configuration.name, &router.name);
+        let (limits, listeners) = (router.limits, Rc::clone(&router.listeners));
+        let peers = Peers::new(Rc::clone(executor), limits, &configuration.name, &router.name);
         let (writes, pending_writes) = async_channel::unbounded();
         let fleet = Rc::new(Self::new(node, clock, checks, peers, writes, router));
         fleet.with_node(|_, _| ());
-        fleet.spawn_tasks(executor, listener, pending_writes, process.storage);
+        fleet.accept_peers(executor, listener, listeners, limits);
+        fleet.spawn_tasks(executor, pending_writes, process.storage);
         Ok(fleet)
     }
 
@@ -163,16 +171,28 @@
         }
     }
 
-    fn spawn_tasks(
+    /// Accepts connections from peers for as long as the router runs, and passes their messages to the node.
+    fn accept_peers(
         self: &Rc<Self>,
         executor: &LocalExecutor<'static>,
         listener: Async<TcpListener>,
-        pending_writes: Receiver<StorageWrite>,
-        storage: Option<Arc<ReplicaStorage>>,
+        listeners: Rc<ListenerRegistry>,
+        limits: PeerLimits,
     ) {
         let fleet = Rc::clone(self);
         let receive = move |envelope| fleet.with_node(|node, now| node.receive(now, envelope));
-        executor.spawn(Rc::clone(&self.peers).accept(listener, receive)).detach();
+        let handler = PeerHandler { peers: Rc::clone(&self.peers), receive };
+        let table = listeners.add(LISTENER, limits.connections);
+        let acceptor = Acceptor::new(handler, listener, table, listeners, limits.backoff);
+        executor.spawn(async move { acceptor.run().await }).detach();
+    }
+
+    fn spawn_tasks(
+        self: &Rc<Self>,
+        executor: &LocalExecutor<'static>,
+        pending_writes: Receiver<StorageWrite>,
+        storage: Option<Arc<ReplicaStorage>>,
+    ) {
         let fleet = Rc::clone(self);
         executor.spawn(async move { fleet.tick_forever().await }).detach();
         let fleet = Rc::clone(self);
--- a/crates/router/src/operator/control_socket.rs
+++ b/crates/router/src/operator/control_socket.rs
@@ -1,15 +1,19 @@
 //! The control socket of a running router: a Unix socket that only the owner of the process can open.
 
+use std::convert::Infallible;
+use std::io::{self, Write};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Instant;
 
 use anyhow::{Context, Result};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use serde_json::{Value, json};
+use socket2::SockRef;
 use tindoor_consensus::Command;
 use tindoor_policy::budgets::Budget;
 use tindoor_policy::{PolicyVersion, Proposal, keys};
@@ -17,6 +21,9 @@
 
 use super::control_protocol::{ControlRequest, PolicyChanges};
 use crate::configuration::limits::PeerLimits;
+use crate::connections::{
+    Acceptor, ConnectionHandler, ConnectionState, ListenerRegistry, ManagedConnection, Phase,
+};
 use crate::fleet::{Fleet, FleetStatus};
 use crate::timeout::with_timeout;
 
@@ -28,23 +35,85 @@
 /// The note that the history records for a revert.
 const REVERT_NOTE: &str = "undone by its operator";
 
-/// Accepts connections on the control socket and answers them.
+/// Serves the connections of operators' commands.
+struct ControlHandler {
+    executor: Rc<LocalExecutor<'static>>,
+    fleet: Rc<Fleet>,
+    limits: PeerLimits,
+}
+
+/// One connection of a command, which sends one request.
+struct ControlConnection {
+    stream: Async<UnixStream>,
+    state: ConnectionState,
+}
+
+impl ManagedConnection for ControlConnection {
+    fn state(&self) -> &ConnectionState {
+        &self.state
+    }
+
+    fn socket(&self) -> SockRef<'_> {
+        SockRef::from(self.stream.get_ref())
+    }
+
+    fn is_busy(&self) -> bool {
+        self.state.has_sent_message()
+    }
+
+    fn closes_at_shutdown(&self) -> bool {
+        false
+    }
+
+    fn begin_close(&self) -> bool {
+        self.state.advance(Phase::Ended);
+        true
+    }
+
+    fn stop(&self) {}
+}
+
+impl ConnectionHandler for ControlHandler {
+    type Listener = UnixListener;
+    type Stream = UnixStream;
+
+    fn accept(listener: &UnixListener) -> io::Result<UnixStream> {
+        listener.accept().map(|(stream, _)| stream)
+    }
+
+    fn serve(&self, stream: UnixStream) -> io::Result<Rc<dyn ManagedConnection>> {
+        let connection =
+            Rc::new(ControlConnection { stream: Async::new(stream)?, state: ConnectionState::default() });
+        let (fleet, limits, served) = (Rc::clone(&self.fleet), self.limits, Rc::clone(&connection));
+        let task = async move {
+            let closed = served.state.wait_for(Phase::Ended);
+            future::or(serve_connection(&fleet, &served, &limits), closed).await;
+        };
+        self.executor.spawn(task).detach();
+        Ok(connection)
+    }
+
+    fn refuse(&self, mut stream: UnixStream) {
+        let answer = json!({"error": "too many commands at once; try again"});
+        if stream.set_nonblocking(true).is_ok() {
+            let _ = stream.write_all(format!("{answer}\n").as_bytes());
+        }
+    }
+}
+
+/// Accepts connections on the control socket and answers them, for as long as the router runs.
 pub async fn serve(
     executor: Rc<LocalExecutor<'static>>,
+    listeners: Rc<ListenerRegistry>,
     fleet: Rc<Fleet>,
     path: PathBuf,
     limits: PeerLimits,
-) -> Result<()> {
+) -> Result<Infallible> {
     let listener = Async::new(bind(&path)?)?;
     tracing::info!(path = %path.display(), "control socket listening");
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            async_io::Timer::after(limits.backoff).await;
-            continue;
-        };
-        let fleet = Rc::clone(&fleet);
-        executor.spawn(async move { serve_connection(&fleet, stream, &limits).await }).detach();
-    }
+    let table = listeners.add("operator", limits.operator_connections);
+    let handler = ControlHandler { executor, fleet, limits };
+    Ok(Acceptor::new(handler, listener, table, listeners, limits.backoff).run().await)
 }
 
 /// Binds the socket under a temporary path, restricts access to the owner, and then renames it to `path`, so
@@ -60,12 +129,14 @@
 }
 
 /// Reads the single request of a connection and writes the answer.
-async fn serve_connection(fleet: &Fleet, mut stream: Async<UnixStream>, limits: &PeerLimits) {
+async fn serve_connection(fleet: &Fleet, connection: &ControlConnection, limits: &PeerLimits) {
     let mut line = Vec::new();
+    let mut stream = &connection.stream;
     let read = read_line(&mut stream, &mut line, limits.max_message_bytes);
     if with_timeout(limits.write_timeout, read).await.is_err() {
         return;
     }
+    connection.state.record_message(Instant::now());
     let answer = match serde_json::from_slice::<ControlRequest>(&line) {
         Ok(request) => respond(fleet, request).unwrap_or_else(|error| json!({"error": error.to_string()})),
         Err(error) => json!({"error": format!("invalid request: {error}")}),
@@ -74,11 +145,7 @@
 }
 
 /// Reads until the end of the line or of the stream, or until `max_bytes` are reached.
-async fn read_line(
-    stream: &mut Async<UnixStream>,
-    line: &mut Vec<u8>,
-    max_bytes: usize,
-) -> std::io::Result<()> {
+async fn read_line(stream: &mut &Async<UnixStream>, line: &mut Vec<u8>, max_bytes: usize) -> io::Result<()> {
     let mut buffer = [0; READ_BUFFER_BYTES];
     while line.last() != Some(&b'\n') && line.len() < max_bytes {
         match stream.read(&mut buffer).await? {
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -15,7 +15,7 @@
 use super::shutdown::RunningListener;
 use crate::configuration::limits::{ConnectionLimits, ExtraListeners, Limits, PeerLimits};
 use crate::configuration::{Configuration, Fronts};
-use crate::connections::{Acceptor, ConnectionHandler};
+use crate::connections::{Acceptor, ConnectionHandler, ListenerRegistry};
 use crate::discovery::apply_event;
 use crate::external::{ExternalProcessing, GrpcHandler, PlainHandler};
 use crate::fleet::{Fleet, LocalRouter};
@@ -54,7 +54,8 @@
         }
         None => None,
     };
-    let fleet = start_fleet(executor, &engine, configuration, &limits, fronts)?;
+    let listeners = Rc::<ListenerRegistry>::default();
+    let fleet = start_fleet(executor, &engine, &listeners, configuration, &limits, fronts)?;
     let state = Rc::new(RouterState {
         executor: Rc::clone(executor),
         limits,
@@ -67,7 +68,7 @@
         signed_urls,
         in_flight_ids,
         endpoints: EndpointPool::new(limits.upstream),
-        listeners: Rc::default(),
+        listeners,
         unwritten_replies: Rc::default(),
         memory: MemoryBudget::new(limits.max_buffered_bytes),
         overload_log: LogThrottle::default(),
@@ -83,13 +84,17 @@
 /// Returns which listeners the fronts file switches on.
 fn extra_listeners(fronts: &Fronts) -> ExtraListeners {
     let for_proxies = [&fronts.external_processing, &fronts.call];
-    ExtraListeners { for_proxies: for_proxies.into_iter().flatten().count() }
+    ExtraListeners {
+        for_proxies: for_proxies.into_iter().flatten().count(),
+        for_peers: fronts.fleet.is_some(),
+    }
 }
 
 /// Joins the fleet that the fronts file configures, if any, and makes it the gate that admits requests.
 fn start_fleet(
     executor: &Rc<LocalExecutor<'static>>,
     engine: &Rc<EngineHandle>,
+    listeners: &Rc<ListenerRegistry>,
     configuration: &Configuration,
     limits: &Limits,
     fronts: &Fronts,
@@ -104,7 +109,8 @@
         location: configuration.engine_settings.topology.location,
         settings: configuration.engine_settings.clone(),
         classes: configuration.classes.iter().map(|class| class.name.clone()).collect(),
-        limits: PeerLimits::default(),
+        limits: limits.peer,
+        listeners: Rc::clone(listeners),
         open_requests_limit: limits.max_open_requests,
         requests_in_flight: in_flight,
         retry_after: Span::micros(limits.no_lease_retry_after.as_micros() as u64),
@@ -112,17 +118,23 @@
     let fleet = Fleet::start(executor, fleet_settings, local_router).context("fronts")?;
     engine.set_gate(Rc::clone(&fleet) as Rc<dyn AdmissionGate>);
     if let Some(path) = fleet_settings.operator_socket.clone() {
-        spawn_control_socket(executor, &fleet, path);
+        spawn_control_socket(executor, listeners, &fleet, path, limits.peer);
     }
     Ok(Some(fleet))
 }
 
-fn spawn_control_socket(executor: &Rc<LocalExecutor<'static>>, fleet: &Rc<Fleet>, path: PathBuf) {
-    let socket = control_socket::serve(Rc::clone(executor), Rc::clone(fleet), path, PeerLimits::default());
+fn spawn_control_socket(
+    executor: &Rc<LocalExecutor<'static>>,
+    listeners: &Rc<ListenerRegistry>,
+    fleet: &Rc<Fleet>,
+    path: PathBuf,
+    limits: PeerLimits,
+) {
+    let (listeners, fleet) = (Rc::clone(listeners), Rc::clone(fleet));
+    let socket = control_socket::serve(Rc::clone(executor), listeners, fleet, path, limits);
     let task = async move {
-        if let Err(error) = socket.await {
-            tracing::error!("operator socket failed: {error:#}");
-        }
+        let Err(error) = socket.await;
+        tracing::error!("operator socket failed: {error:#}");
     };
     executor.spawn(task).detach();
 }
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -7,11 +7,13 @@
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::unix::net::UnixStream;
 use std::time::{Duration, Instant};
 
 use http2::{ANNOUNCED, CallEnd, Http2Client};
 use serde_json::{Value, json};
 use support::*;
+use tindoor_testbed::cluster::{control_request, free_address};
 use tindoor_testbed::stand_in::*;
 
 /// The client's time of a call, and the time after it within which an answer is late and not lost.
@@ -498,3 +500,45 @@
     }
     assert!((300..=allowed).contains(&peak), "{peak} descriptors");
 }
+
+/// Starts a router that is the only member of a fleet. Returns it with the addresses of its listener for peers
+/// and of its operator's socket.
+fn fleet_member(name: &str) -> (Router, SocketAddr, std::path::PathBuf) {
+    let change_stream = ChangeStream::start();
+    let operator = std::env::temp_dir().join(format!("tindoor-limits-{}-{name}.sock", std::process::id()));
+    let listen = free_address();
+    let fleet = json!({"name": "alone", "listen": listen, "operator": operator, "voters": 1});
+    let mut configuration = configuration(change_stream.address, Vec::new());
+    configuration["limits"]["sockets"] = json!(DESCRIPTORS);
+    let start = StartOptions { fronts: Some(json!({ "fleet": fleet })), ..StartOptions::default() };
+    let router = Router::start_with(&configuration, &start);
+    until("the operator socket to exist", || operator.exists());
+    (router, listen, operator)
+}
+
+// Guards against silent connections that keep the other routers of the fleet out.
+#[test]
+fn silent_connections_leave_room_for_those_of_peers() {
+    let (router, listen, _operator) = fleet_member("peers");
+    let _silent: Vec<_> = (0..120).map(|_| TcpStream::connect(listen).unwrap()).collect();
+    let begun = Instant::now();
+    while router.log.change(|log| !log.iter().any(|line| line.contains("frame longer than the limit"))) {
+        assert!(begun.elapsed() < ANSWER_TIMEOUT, "no connection of a peer was read");
+        let mut peer = TcpStream::connect(listen).unwrap();
+        let _ = peer.write_all(b"tindoor-fleet 1 alone n1\n\xff\xff\xff\xff");
+        std::thread::sleep(Duration::from_millis(100));
+        assert!(descriptors(router.pid()) <= DESCRIPTORS);
+    }
+}
+
+// Guards against commands that hold any number of descriptors, and against a command without an answer.
+#[test]
+fn silent_connections_to_the_operators_socket_stay_within_the_descriptors() {
+    let (router, _listen, operator) = fleet_member("operator");
+    let _silent: Vec<_> = (0..100).map(|_| UnixStream::connect(&operator).unwrap()).collect();
+    let begun = Instant::now();
+    while control_request(&operator, &json!("status")).is_err() {
+        assert!(begun.elapsed() < ANSWER_TIMEOUT, "no command was answered");
+    }
+    assert!(descriptors(router.pid()) <= DESCRIPTORS);
+}
