Limit the time in which a request head over plain HTTP may arrive

What happened: 2 s were allowed for each read of an incomplete head, so a proxy that sent a byte now and then after an earlier call kept its connection for hours, and it could not be closed to make room.

Change: 2 s from the first byte of a head to its last, as for clients' frames.

--- a/crates/router/src/external/http/mod.rs
+++ b/crates/router/src/external/http/mod.rs
@@ -76,6 +76,8 @@
     names: Rc<HeaderNames>,
     proxy: Rc<ProxyConnection>,
     received: Vec<u8>,
+    /// When the first byte of an incomplete request was read. `None` while nothing of a request has arrived.
+    incomplete_since: Option<Instant>,
 }
 
 /// Serves one connection until either side closes it.
@@ -85,7 +87,8 @@
     proxy: Rc<ProxyConnection>,
 ) -> io::Result<()> {
     let limits = router.limits.proxy;
-    let mut connection = Connection { router, names, proxy: Rc::clone(&proxy), received: Vec::new() };
+    let (received, incomplete_since) = (Vec::new(), None);
+    let mut connection = Connection { router, names, proxy: Rc::clone(&proxy), received, incomplete_since };
     connection.serve_requests().await?;
     proxy.close(&limits).await;
     Ok(())
@@ -125,6 +128,7 @@
                 self.received.drain(..size);
                 state.set_unparsed_bytes(!self.received.is_empty());
                 state.record_message(Instant::now());
+                self.incomplete_since = None;
                 return Ok(Some(head));
             }
             if self.received.len() > self.router.limits.proxy.max_header_list_bytes {
@@ -136,10 +140,17 @@
         }
     }
 
-    /// Reads once. Returns 0 if either side has closed the connection.
+    /// Reads once. Returns 0 if either side has closed the connection. Fails if a request does not arrive
+    /// completely in time, even if single bytes keep arriving.
     async fn receive(&mut self) -> io::Result<usize> {
         let limits = &self.router.limits.proxy;
-        let wait = if self.received.is_empty() { limits.idle_timeout } else { limits.frame_timeout };
+        if !self.received.is_empty() {
+            self.incomplete_since = self.incomplete_since.or(Some(Instant::now()));
+        }
+        let wait = match self.incomplete_since {
+            Some(since) => limits.frame_timeout.saturating_sub(since.elapsed()),
+            None => limits.idle_timeout,
+        };
         let state = self.proxy.state();
         let filled = self.received.len();
         self.received.resize(filled + limits.initial_read_bytes, 0);
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -501,6 +501,22 @@
     assert!((300..=allowed).contains(&peak), "{peak} descriptors");
 }
 
+// Guards against a request head that arrives byte by byte and holds its connection for hours.
+#[test]
+fn a_request_head_over_plain_http_has_to_arrive_completely_in_time() {
+    let fixture = fixture(&[Front::Plain], DESCRIPTORS, serve);
+    let mut slow = TcpStream::connect(fixture.router.front("call")).unwrap();
+    let begun = Instant::now();
+    let call = plain_call(1);
+    let mut bytes = call.as_bytes().chunks(1).cycle();
+    slow.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+    // Each byte arrives in time, and the head would take several times as long as it may.
+    while slow.read(&mut [0]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock) {
+        let _ = slow.write_all(bytes.next().unwrap());
+        assert!(begun.elapsed() < ANSWER_TIMEOUT, "the connection is open");
+    }
+}
+
 /// Starts a router that is the only member of a fleet. Returns it with the addresses of its listener for peers
 /// and of its operator's socket.
 fn fleet_member(name: &str) -> (Router, SocketAddr, std::path::PathBuf) {
