Log what becomes of each connection to the change stream, and the age of what is known

Change: each connection has a record: when it began, when the subscription was sent, when the first line came, how many lines came, why it ended (at debug, a line each). The warning names the stage and the age of what is known.

--- a/crates/router/src/connections/registry.rs
+++ b/crates/router/src/connections/registry.rs
@@ -2,9 +2,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
-
-use async_io::Timer;
 
 use super::metrics::report_if_full;
 use super::table::ConnectionTable;
@@ -53,12 +50,4 @@
     pub fn report(&self) {
         self.tables().iter().for_each(|table| report_if_full(table));
     }
-
-    /// Reports at regular intervals; never returns.
-    pub async fn run_reports(&self, interval: Duration) {
-        loop {
-            Timer::after(interval).await;
-            self.report();
-        }
-    }
 }
--- a/crates/router/src/discovery/mod.rs
+++ b/crates/router/src/discovery/mod.rs
@@ -2,7 +2,9 @@
 //! engine, and the requests that external proxies execute.
 
 mod apply;
+mod metrics;
 mod watch;
 
 pub use apply::apply_event;
+pub use metrics::WatchMetrics;
 pub use watch::watch;
--- a/crates/router/src/discovery/watch.rs
+++ b/crates/router/src/discovery/watch.rs
@@ -11,6 +11,7 @@
 use tindoor_discovery::{Progress, WatchError};
 
 use super::apply::apply_event;
+use super::metrics::ConnectionRecord;
 use crate::configuration::limits::WatchLimits;
 use crate::log_throttle::LogThrottle;
 use crate::state::RouterState;
@@ -32,10 +33,14 @@
 pub async fn watch(state: Rc<RouterState>, address: SocketAddr) -> Infallible {
     let reconnect_log = LogThrottle::default();
     loop {
-        let Err(error) = follow_connection(&state, address).await;
+        let mut record = state.watch_metrics.record_begun();
+        let Err(error) = follow_connection(&state, address, &mut record).await;
+        state.watch_metrics.record_ended(&record, &error);
         if let Some(times) = reconnect_log.record() {
             let sequence = state.watch_position.borrow().sequence;
-            tracing::warn!(%error, sequence, times, "discovery watch disconnected; reconnecting");
+            let known_age_ms = state.watch_metrics.known_age_ms();
+            let stage = record.stage();
+            tracing::warn!(%error, %stage, sequence, known_age_ms, times, "discovery watch disconnected; reconnecting");
         }
         let backoff = state.limits.watch.backoff;
         let jitter = Duration::from_secs_f64(backoff.as_secs_f64() * fastrand::f64());
@@ -44,14 +49,20 @@
 }
 
 /// Connects, subscribes from the current position, and applies events until the connection ends.
-async fn follow_connection(state: &RouterState, address: SocketAddr) -> Result<Infallible, ConnectionEnd> {
+async fn follow_connection(
+    state: &RouterState,
+    address: SocketAddr,
+    record: &mut ConnectionRecord,
+) -> Result<Infallible, ConnectionEnd> {
     let limits = state.limits.watch;
     let mut stream = with_timeout(limits.connect_timeout, Async::<TcpStream>::connect(address)).await?;
     let request = format!("since {}\n", state.watch_position.borrow().sequence);
     stream.write_all(request.as_bytes()).await?;
+    record.record_subscribed();
     state.watch_position.borrow_mut().reconnected();
     let mut lines = LineReader { stream, buffer: Vec::new(), limits };
     while let Some(line) = lines.next_line().await? {
+        state.watch_metrics.record_line(record);
         apply_line(state, &line)?;
     }
     Err(ConnectionEnd::Closed)
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -16,7 +16,7 @@
 use crate::configuration::limits::{ConnectionLimits, ExtraListeners, Limits, PeerLimits};
 use crate::configuration::{Configuration, Fronts};
 use crate::connections::{Acceptor, ConnectionHandler, ListenerRegistry};
-use crate::discovery::apply_event;
+use crate::discovery::{WatchMetrics, apply_event};
 use crate::external::{ExternalProcessing, GrpcHandler, PlainHandler};
 use crate::fleet::{Fleet, LocalRouter};
 use crate::log_throttle::LogThrottle;
@@ -74,6 +74,7 @@
         overload_log: LogThrottle::default(),
         malformed_log: LogThrottle::default(),
         watch_position: RefCell::new(WatchPosition::after(configuration.initial_sequence)),
+        watch_metrics: WatchMetrics::default(),
         shutdown_deadline: Cell::new(None),
     });
     limit_connections_by_quota(&state);
@@ -197,8 +198,16 @@
     let external = Rc::clone(&state.external);
     state.executor.spawn(async move { external.run_timers().await }).detach();
     state.executor.spawn(sweep_idle_connections(Rc::clone(state))).detach();
-    let (listeners, interval) = (Rc::clone(&state.listeners), state.limits.report_interval);
-    state.executor.spawn(async move { listeners.run_reports(interval).await }).detach();
+    state.executor.spawn(report_regularly(Rc::clone(state))).detach();
+}
+
+/// Logs what happened at the listeners and to the discovery watch since the last report.
+async fn report_regularly(state: Rc<RouterState>) {
+    loop {
+        Timer::after(state.limits.report_interval).await;
+        state.listeners.report();
+        state.watch_metrics.report();
+    }
 }
 
 async fn sweep_idle_connections(state: Rc<RouterState>) {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -11,6 +11,7 @@
 
 use crate::configuration::limits::Limits;
 use crate::connections::ListenerRegistry;
+use crate::discovery::WatchMetrics;
 use crate::external::ExternalProcessing;
 use crate::fleet::Fleet;
 use crate::log_throttle::LogThrottle;
@@ -53,6 +54,8 @@
     pub malformed_log: LogThrottle,
     /// The position up to which the change stream has been applied.
     pub watch_position: RefCell<WatchPosition>,
+    /// What became of the connections to the change stream.
+    pub watch_metrics: WatchMetrics,
     /// The time by which all requests must be answered; `None` until a shutdown begins.
     pub shutdown_deadline: Cell<Option<Instant>>,
 }
