Wait for a slow change stream, and ask on another connection beside it

Cause: watch.rs gave the connect (1 s), each silence (1.8 s) and each line (2.5 s) a fixed limit, hung up and began anew with the same limit, without end. A stream slower than that is never heard, and each hang-up loses the place in its queue and leaves a dead call there.

Change: ConnectionSchedule (crates/discovery, no I/O) decides when connections begin and which gives way; each connection is a task without limits of its own. Silence begins another connection beside; the first whole line on any ends the others; three at most. The oldest is kept however long it takes, so a stream that answers at all is heard; the newest gives way, and the one between is kept longer each time, so that one that replaced another is heard too. A larger limit alone would only have moved the stream that is never heard.

The suite showed that three connections exceed the 16 descriptors kept where 64 are allowed (a client was closed); 20 are kept now.

--- a/crates/router/src/configuration/limits.rs
+++ b/crates/router/src/configuration/limits.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use tindoor::time::Span;
+use tindoor_discovery::ScheduleLimits;
 use tindoor_external_requests::Limits as TableLimits;
 
-/// The minimum number of file descriptors reserved for the listener, the watch, signals, timers and logs.
-const MIN_RESERVED_DESCRIPTORS: usize = 16;
-/// The maximum number of file descriptors reserved for the listener, the watch, signals, timers and logs.
+/// The minimum number of file descriptors reserved for the listener, the connections of the watch, signals,
+/// timers, logs, a connection that waits for room, and the configuration file.
+const MIN_RESERVED_DESCRIPTORS: usize = 20;
+/// The maximum number of file descriptors reserved for the same.
 const MAX_RESERVED_DESCRIPTORS: usize = 32;
 /// One in this many file descriptors is for client connections.
 const CLIENT_DESCRIPTORS_DIVISOR: usize = 3;
@@ -188,14 +190,8 @@
     pub max_line_bytes: usize,
     /// The buffer size of a single read, in bytes.
     pub read_chunk_bytes: usize,
-    /// The timeout for establishing the connection.
-    pub connect_timeout: Duration,
-    /// The maximum time without receiving a byte. The stream sends a heartbeat every second.
-    pub read_timeout: Duration,
-    /// The time for receiving a complete line, even if single bytes keep arriving.
-    pub line_timeout: Duration,
-    /// The minimum backoff before the next connection. Jitter adds up to the same time again.
-    pub backoff: Duration,
+    /// When connections begin and are given up.
+    pub schedule: ScheduleLimits,
 }
 
 /// Limits of a graceful shutdown.
@@ -377,10 +373,16 @@
         Self {
             max_line_bytes: 1 << 20,
             read_chunk_bytes: READ_CHUNK_BYTES,
-            connect_timeout: Duration::from_secs(1),
-            read_timeout: Duration::from_millis(1800),
-            line_timeout: Duration::from_millis(2500),
-            backoff: Duration::from_millis(100),
+            schedule: ScheduleLimits {
+                max_connections: 3,
+                connect_patience: Duration::from_secs(1),
+                silence_patience: Duration::from_millis(1800),
+                line_patience: Duration::from_millis(2500),
+                max_patience: Duration::from_millis(3500),
+                pause: Duration::from_millis(100),
+                max_pause: Duration::from_millis(250),
+                stable_after: Duration::from_secs(1),
+            },
         }
     }
 }
--- a/crates/router/src/discovery/metrics.rs
+++ b/crates/router/src/discovery/metrics.rs
@@ -5,6 +5,8 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use super::connection::ConnectionEnd;
+
 /// How far a connection to the change stream has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionStage {
@@ -51,6 +53,16 @@
         }
     }
 
+    /// Returns the time since the connect began, in milliseconds.
+    pub fn open_ms(&self) -> u64 {
+        millis(self.begun.elapsed())
+    }
+
+    /// Returns the time from the begin of the connect to the first line, in milliseconds; `None` before it.
+    pub fn first_line_ms(&self) -> Option<u64> {
+        self.first_line_after.map(millis)
+    }
+
     /// Records that the subscription was sent.
     pub fn record_subscribed(&mut self) {
         let elapsed = self.begun.elapsed();
@@ -65,8 +77,12 @@
     begun: Cell<u64>,
     /// The number of connections on which at least one line was received.
     answered: Cell<u64>,
-    /// The number of connections that ended without a line.
-    unanswered: Cell<u64>,
+    /// The number of connections that failed or were closed by the server before a line.
+    failed: Cell<u64>,
+    /// The number of connections that the router closed before a line.
+    given_up: Cell<u64>,
+    /// The number of connections that are being established or open.
+    open: Cell<u64>,
     longest_first_line: Cell<Duration>,
     last_line: Cell<Option<Instant>>,
     /// The value of `begun` at the last report.
@@ -78,6 +94,7 @@
     pub fn record_begun(&self) -> ConnectionRecord {
         let number = self.begun.get() + 1;
         self.begun.set(number);
+        self.open.set(self.open.get() + 1);
         tracing::debug!(connection = number, "discovery watch connects");
         ConnectionRecord {
             number,
@@ -107,15 +124,17 @@
     }
 
     /// Records the end of a connection, whichever side ended it, and why.
-    pub fn record_ended(&self, connection: &ConnectionRecord, reason: &dyn fmt::Display) {
+    pub fn record_ended(&self, connection: &ConnectionRecord, reason: &ConnectionEnd) {
+        self.open.set(self.open.get() - 1);
         if connection.first_line_after.is_none() {
-            self.unanswered.set(self.unanswered.get() + 1);
+            let count = if reason.is_by_router() { &self.given_up } else { &self.failed };
+            count.set(count.get() + 1);
         }
         tracing::debug!(
             connection = connection.number,
             stage = %connection.stage(),
-            open_ms = millis(connection.begun.elapsed()),
-            first_line_ms = connection.first_line_after.map(millis),
+            open_ms = connection.open_ms(),
+            first_line_ms = connection.first_line_ms(),
             lines = connection.lines,
             %reason,
             "discovery watch connection ended"
@@ -136,8 +155,10 @@
         tracing::info!(
             begun,
             answered = self.answered.get(),
-            unanswered = self.unanswered.get(),
+            failed = self.failed.get(),
+            given_up = self.given_up.get(),
             longest_first_line_ms = millis(self.longest_first_line.get()),
+            open = self.open.get(),
             known_age_ms = self.known_age_ms(),
             "discovery watch has reconnected"
         );
--- a/crates/router/src/discovery/mod.rs
+++ b/crates/router/src/discovery/mod.rs
@@ -2,6 +2,7 @@
 //! engine, and the requests that external proxies execute.
 
 mod apply;
+mod connection;
 mod metrics;
 mod watch;
 
--- a/crates/testbed/src/stand_in/change_stream.rs
+++ b/crates/testbed/src/stand_in/change_stream.rs
@@ -1,11 +1,12 @@
 //! A stand-in for the server of the change stream to which routers subscribe.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
 use super::Watched;
+use super::scripted_change_stream::read_subscription;
 
 /// How often heartbeats are sent.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
@@ -122,12 +123,6 @@
     }
 }
 
-fn read_subscription(connection: &TcpStream) -> Option<u64> {
-    let mut line = String::new();
-    let _ = BufReader::new(connection).read_line(&mut line);
-    line.trim().strip_prefix("since ")?.parse().ok()
-}
-
 /// Sends the text to all subscribers, and removes subscribers whose connection has failed.
 fn send_to_all(subscribers: &mut Vec<TcpStream>, text: &str) {
     subscribers.retain_mut(|subscriber| subscriber.write_all(text.as_bytes()).is_ok());
--- a/crates/testbed/src/stand_in/mod.rs
+++ b/crates/testbed/src/stand_in/mod.rs
@@ -8,6 +8,7 @@
 mod process;
 mod reply;
 mod scripted_cache;
+mod scripted_change_stream;
 mod watched;
 
 pub use change_stream::ChangeStream;
@@ -17,4 +18,5 @@
 pub use process::{Router, StartOptions, descriptors, fails_with, program};
 pub use reply::Reply;
 pub use scripted_cache::{Behavior, Cache, Completion, ReceivedRequest, http_response, served};
+pub use scripted_change_stream::{ScriptedChangeStream, Subscription, SubscriptionRecord};
 pub use watched::{Watched, until};
