Give a slow link between routers the time that it makes progress in

What the peers saw (by test; no operator reported it): a message that takes over 2 s to arrive was cut off, and the sender connected anew and sent the next into the same limit. A connect that takes over 0.4 s was given up and begun anew after 50 ms with the same limit, without end.

Change: a message may take as long as a byte comes or goes each 2 s (`progress_timeout`); a connection without a whole message for 10 s still makes room for others. The time for a connect doubles with each that fails, up to 1.6 s, and is 0.4 s again after one that succeeds; no further descriptor is used.

--- a/crates/router/src/configuration/limits.rs
+++ b/crates/router/src/configuration/limits.rs
@@ -434,10 +434,13 @@
     pub max_preface_bytes: usize,
     /// The maximum number of messages queued for one peer.
     pub max_queued_messages: usize,
-    /// The timeout for establishing a connection.
+    /// The timeout for establishing a connection. It doubles with each connect that fails.
     pub connect_timeout: Duration,
-    /// The time for writing a message or for receiving a complete message.
-    pub write_timeout: Duration,
+    /// The maximum of `connect_timeout`.
+    pub max_connect_timeout: Duration,
+    /// How long the transfer of a message may make no progress, and the time for a first line or an operator's
+    /// command.
+    pub progress_timeout: Duration,
     /// How long a connection may stay idle.
     pub idle_timeout: Duration,
     /// The backoff after a failed connection.
@@ -454,12 +457,20 @@
             max_preface_bytes: 256,
             max_queued_messages: 128,
             connect_timeout: Duration::from_millis(400),
-            write_timeout: Duration::from_secs(2),
+            max_connect_timeout: Duration::from_millis(1600),
+            progress_timeout: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(10),
             backoff: Duration::from_millis(50),
         }
     }
 
+    /// Returns the timeout of a connect after this many have failed in a row, so that a peer that is slow to
+    /// reach is reached in the end.
+    pub fn connect_timeout_after(&self, failed_connects: u32) -> Duration {
+        let factor = 2u32.saturating_pow(failed_connects);
+        self.connect_timeout.saturating_mul(factor).min(self.max_connect_timeout)
+    }
+
     /// Returns the number of descriptors that the fleet's connections use at most.
     fn descriptors(&self) -> usize {
         2 * self.connections.max_connections + self.operator_connections.max_connections
--- a/crates/router/src/fleet/peers.rs
+++ b/crates/router/src/fleet/peers.rs
@@ -12,14 +12,14 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncReadExt, future};
 use socket2::SockRef;
 use tindoor_consensus::Envelope;
 
 use crate::configuration::limits::PeerLimits;
 use crate::connections::{ConnectionHandler, ConnectionState, ManagedConnection, Phase};
 use crate::log_throttle::LogThrottle;
-use crate::timeout::with_timeout;
+use crate::timeout::{read_exact_with_progress, with_timeout, write_all_with_progress};
 
 /// The beginning of the first line on each connection, the same in all versions. The names of the fleet and
 /// of the sender follow it.
@@ -147,19 +147,22 @@
     /// Sends the queued frames to one peer, until the queue has been empty for the idle timeout.
     async fn send_queued(&self, address: SocketAddr, queue: &SendQueue) {
         let mut stream: Option<Async<TcpStream>> = None;
+        let mut failed_connects = 0;
         while let Some(frame) = self.next_frame(queue).await {
             if stream.is_none() {
-                stream = self.connect(address).await;
+                stream = self.connect(address, failed_connects).await;
             }
             let Some(open) = &mut stream else {
+                failed_connects += 1;
                 // The queued frames would be outdated after the pause; senders repeat what they still need.
                 queue.clear();
                 Timer::after(self.limits.backoff).await;
                 continue;
             };
+            failed_connects = 0;
             let length = (frame.len() as u32).to_be_bytes();
             let bytes = [&length[..], &frame].concat();
-            if with_timeout(self.limits.write_timeout, open.write_all(&bytes)).await.is_err() {
+            if write_all_with_progress(self.limits.progress_timeout, open, &bytes).await.is_err() {
                 stream = None;
             }
         }
@@ -174,18 +177,21 @@
         future::or(next, idle).await
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Async<TcpStream>> {
-        let mut stream =
-            match with_timeout(self.limits.connect_timeout, Async::<TcpStream>::connect(address)).await {
-                Ok(stream) => stream,
-                Err(error) => {
-                    tracing::debug!(%address, %error, "can't connect to a peer; queued messages dropped");
-                    return None;
-                }
-            };
+    /// Connects to a peer. The time limit grows with the number of connects that have failed before.
+    async fn connect(&self, address: SocketAddr, failed_connects: u32) -> Option<Async<TcpStream>> {
+        let limit = self.limits.connect_timeout_after(failed_connects);
+        let mut stream = match with_timeout(limit, Async::<TcpStream>::connect(address)).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                tracing::debug!(
+                    %address, %error, failed_connects, "can't connect to a peer; queued messages dropped"
+                );
+                return None;
+            }
+        };
         let _ = stream.get_ref().set_nodelay(true);
-        let written =
-            with_timeout(self.limits.write_timeout, stream.write_all(self.preface.as_bytes())).await;
+        let preface = self.preface.as_bytes();
+        let written = write_all_with_progress(self.limits.progress_timeout, &mut stream, preface).await;
         written.ok().map(|()| stream)
     }
 
@@ -225,7 +231,7 @@
                 return Err(invalid_data("frame longer than the limit"));
             }
             let mut bytes = vec![0; length];
-            with_timeout(limits.write_timeout, stream.read_exact(&mut bytes)).await?;
+            read_exact_with_progress(limits.progress_timeout, &mut stream, &mut bytes).await?;
             connection.state.record_message(Instant::now());
             receive(
                 Envelope::from_bytes(&bytes)
@@ -245,7 +251,7 @@
             }
             Ok(())
         };
-        with_timeout(self.limits.write_timeout, read).await?;
+        with_timeout(self.limits.progress_timeout, read).await?;
         let line = String::from_utf8_lossy(&line);
         if without_sender(&line) == without_sender(&self.preface) {
             Ok(())
--- a/crates/router/src/operator/control_socket.rs
+++ b/crates/router/src/operator/control_socket.rs
@@ -133,7 +133,7 @@
     let mut line = Vec::new();
     let mut stream = &connection.stream;
     let read = read_line(&mut stream, &mut line, limits.max_message_bytes);
-    if with_timeout(limits.write_timeout, read).await.is_err() {
+    if with_timeout(limits.progress_timeout, read).await.is_err() {
         return;
     }
     connection.state.record_message(Instant::now());
@@ -141,7 +141,7 @@
         Ok(request) => respond(fleet, request).unwrap_or_else(|error| json!({"error": error.to_string()})),
         Err(error) => json!({"error": format!("invalid request: {error}")}),
     };
-    let _ = with_timeout(limits.write_timeout, stream.write_all(format!("{answer}\n").as_bytes())).await;
+    let _ = with_timeout(limits.progress_timeout, stream.write_all(format!("{answer}\n").as_bytes())).await;
 }
 
 /// Reads until the end of the line or of the stream, or until `max_bytes` are reached.
--- a/crates/router/src/timeout.rs
+++ b/crates/router/src/timeout.rs
@@ -1,11 +1,11 @@
-//! A time limit for one I/O operation.
+//! Time limits for I/O operations: for a whole operation, or for each step of it.
 
 use std::io;
 use std::pin::pin;
 use std::time::Duration;
 
 use async_io::Timer;
-use futures_lite::future;
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, future};
 
 /// Runs an operation with a time limit. If it does not finish in time, returns an error of kind `TimedOut`.
 ///
@@ -24,3 +24,37 @@
     };
     future::or(operation, timeout).await
 }
+
+/// Writes all bytes. Returns an error of kind `TimedOut` if the receiver takes none for the time of `limit`: a slow
+/// receiver may take as long as it needs.
+pub async fn write_all_with_progress<W: AsyncWrite + Unpin>(
+    limit: Duration,
+    stream: &mut W,
+    mut bytes: &[u8],
+) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let written = with_timeout(limit, stream.write(bytes)).await?;
+        if written == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        bytes = &bytes[written..];
+    }
+    Ok(())
+}
+
+/// Fills the buffer. Returns an error of kind `TimedOut` if no byte arrives for the time of `limit`: a slow sender
+/// may take as long as it needs.
+pub async fn read_exact_with_progress<R: AsyncRead + Unpin>(
+    limit: Duration,
+    stream: &mut R,
+    mut buffer: &mut [u8],
+) -> io::Result<()> {
+    while !buffer.is_empty() {
+        let received = with_timeout(limit, stream.read(buffer)).await?;
+        if received == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        buffer = &mut buffer[received..];
+    }
+    Ok(())
+}
--- a/crates/router/tests/connections.rs
+++ b/crates/router/tests/connections.rs
@@ -558,3 +558,22 @@
     }
     assert!(descriptors(router.pid()) <= DESCRIPTORS);
 }
+
+// Guards against a limit for a whole message of a peer: one over a slow link was cut off and sent anew each time.
+#[test]
+fn a_message_of_a_peer_that_arrives_slowly_is_read_to_its_end() {
+    const SIZE: u32 = 40;
+    let (router, listen, _operator) = fleet_member("slow-message");
+    let mut peer = TcpStream::connect(listen).unwrap();
+    peer.write_all(b"tindoor-fleet 1 alone n1\n").unwrap();
+    peer.write_all(&SIZE.to_be_bytes()).unwrap();
+    for _ in 0..SIZE {
+        // The message takes 4 s in all.
+        std::thread::sleep(Duration::from_millis(100));
+        let _ = peer.write_all(b"x");
+    }
+    // No message consists of such bytes, which shows once it is complete.
+    router.log.wait("the message to be decoded", |log| {
+        log.iter().any(|line| line.contains("frame can't be decoded as a message")).then_some(())
+    });
+}
--- a/crates/router/tests/policy.rs
+++ b/crates/router/tests/policy.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tindoor_testbed::cluster::{control_request, free_address};
@@ -125,3 +126,24 @@
     BufReader::new(peer.accept().unwrap().0).read_line(&mut line).unwrap();
     assert_eq!(line, "tindoor-fleet 1 alone n0\n");
 }
+
+/// Guards against connects to a peer that are given up after the same short time again and again: one that takes
+/// longer was never made.
+#[test]
+fn a_peer_that_is_slow_to_reach_is_given_more_time_with_each_connect() {
+    let slow = FullBacklogCache::start();
+    let change_stream = ChangeStream::start();
+    let fleet = json!({
+        "name": "alone", "listen": free_address(), "seeds": [slow.address], "beat_ms": 25,
+    });
+    let start = StartOptions { fronts: Some(json!({ "fleet": fleet })), ..StartOptions::default() };
+    let router = Router::start_with(&configuration(change_stream.address, Vec::new()), &start);
+    let failed = |log: &mut Vec<String>| {
+        let failed = log.iter().filter(|line| line.contains("can't connect to a peer")).count();
+        (failed >= 5).then_some(())
+    };
+    let begun = Instant::now();
+    router.log.wait("connects to a peer to fail", failed);
+    // The first takes 0.4 s, each further one twice as long, up to 1.6 s.
+    assert!(begun.elapsed() > Duration::from_secs(5), "{:?}", begun.elapsed());
+}
