Accept connections by one trait for listening sockets

Five handlers of listeners each had the same `accept` and named the type of the connections that follows from that of the socket. ListeningSocket, for TCP and Unix sockets, has both.

--- a/crates/router/src/connections/acceptor.rs
+++ b/crates/router/src/connections/acceptor.rs
@@ -3,7 +3,9 @@
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
+use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsFd;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,21 +17,44 @@
 use super::table::{ConnectionTable, Room};
 use crate::log_throttle::LogThrottle;
 
-/// What a listener does with its connections.
-pub trait ConnectionHandler {
-    /// The listening socket.
-    type Listener: AsFd;
+/// A non-blocking listening socket.
+pub trait ListeningSocket: AsFd {
     /// An accepted connection.
     type Stream;
 
     /// Accepts the first connection of the system's accept queue, without waiting.
-    fn accept(listener: &Self::Listener) -> io::Result<Self::Stream>;
+    fn accept_next(&self) -> io::Result<Self::Stream>;
+}
+
+impl ListeningSocket for TcpListener {
+    type Stream = TcpStream;
+
+    fn accept_next(&self) -> io::Result<TcpStream> {
+        self.accept().map(|(stream, _)| stream)
+    }
+}
+
+impl ListeningSocket for UnixListener {
+    type Stream = UnixStream;
+
+    fn accept_next(&self) -> io::Result<UnixStream> {
+        self.accept().map(|(stream, _)| stream)
+    }
+}
+
+/// The connections that a handler's listening socket accepts.
+type StreamOf<H> = <<H as ConnectionHandler>::Listener as ListeningSocket>::Stream;
+
+/// What a listener does with its connections.
+pub trait ConnectionHandler {
+    /// The listening socket.
+    type Listener: ListeningSocket;
 
     /// Starts to serve a connection.
-    fn serve(&self, stream: Self::Stream) -> io::Result<Rc<dyn ManagedConnection>>;
+    fn serve(&self, stream: StreamOf<Self>) -> io::Result<Rc<dyn ManagedConnection>>;
 
     /// Refuses a connection for which there is no room. No call on it is run.
-    fn refuse(&self, stream: Self::Stream);
+    fn refuse(&self, stream: StreamOf<Self>);
 
     /// Releases what else holds descriptors, after an accept has failed.
     fn accept_failed(&self) {}
@@ -50,7 +75,7 @@
     registry: Rc<ListenerRegistry>,
     /// The connection that was accepted while there was no room for it. Those behind it wait in the system's
     /// accept queue.
-    waiting: RefCell<Option<H::Stream>>,
+    waiting: RefCell<Option<StreamOf<H>>>,
     poll_interval: Duration,
     failure_log: LogThrottle,
     refusal_log: LogThrottle,
@@ -82,7 +107,7 @@
         loop {
             // A burst of new connections must not starve the existing ones.
             future::yield_now().await;
-            match H::accept(self.socket.get_ref()) {
+            match self.socket.get_ref().accept_next() {
                 Ok(stream) => {
                     *self.waiting.borrow_mut() = Some(stream);
                     self.admit_waiting().await;
@@ -143,7 +168,7 @@
         }
     }
 
-    fn serve(&self, stream: H::Stream) {
+    fn serve(&self, stream: StreamOf<H>) {
         match self.handler.serve(stream) {
             Ok(connection) => self.table.add(&connection),
             Err(error) => tracing::debug!(listener = self.table.listener, %error, "connection not served"),
@@ -186,7 +211,7 @@
     fn accept_pending(&self) -> bool {
         while self.table.make_room() == Room::Available {
             let waiting = self.waiting.take();
-            match waiting.map_or_else(|| H::accept(self.socket.get_ref()), Ok) {
+            match waiting.map_or_else(|| self.socket.get_ref().accept_next(), Ok) {
                 Ok(stream) => self.serve(stream),
                 Err(_) => return true,
             }
--- a/crates/router/src/downstream/listener.rs
+++ b/crates/router/src/downstream/listener.rs
@@ -49,11 +49,6 @@
 
 impl ConnectionHandler for ClientHandler {
     type Listener = TcpListener;
-    type Stream = TcpStream;
-
-    fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
-        listener.accept().map(|(stream, _)| stream)
-    }
 
     fn serve(&self, stream: TcpStream) -> io::Result<Rc<dyn ManagedConnection>> {
         let stream = Async::new(stream)?;
--- a/crates/router/src/external/grpc/mod.rs
+++ b/crates/router/src/external/grpc/mod.rs
@@ -37,11 +37,6 @@
 
 impl ConnectionHandler for GrpcHandler {
     type Listener = TcpListener;
-    type Stream = TcpStream;
-
-    fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
-        listener.accept().map(|(stream, _)| stream)
-    }
 
     fn serve(&self, stream: TcpStream) -> io::Result<Rc<dyn ManagedConnection>> {
         let proxy = ProxyConnection::new(stream, CloseMethod::GoAway)?;
--- a/crates/router/src/external/http/mod.rs
+++ b/crates/router/src/external/http/mod.rs
@@ -45,11 +45,6 @@
 
 impl ConnectionHandler for PlainHandler {
     type Listener = TcpListener;
-    type Stream = TcpStream;
-
-    fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
-        listener.accept().map(|(stream, _)| stream)
-    }
 
     fn serve(&self, stream: TcpStream) -> io::Result<Rc<dyn ManagedConnection>> {
         let proxy = ProxyConnection::new(stream, CloseMethod::HalfClose)?;
--- a/crates/router/src/fleet/peers.rs
+++ b/crates/router/src/fleet/peers.rs
@@ -304,11 +304,6 @@
 
 impl<F: Fn(Envelope) + Clone + 'static> ConnectionHandler for PeerHandler<F> {
     type Listener = TcpListener;
-    type Stream = TcpStream;
-
-    fn accept(listener: &TcpListener) -> io::Result<TcpStream> {
-        listener.accept().map(|(stream, _)| stream)
-    }
 
     fn serve(&self, stream: TcpStream) -> io::Result<Rc<dyn ManagedConnection>> {
         let connection = Rc::new(PeerConnection {
--- a/crates/router/src/operator/control_socket.rs
+++ b/crates/router/src/operator/control_socket.rs
@@ -75,11 +75,6 @@
 
 impl ConnectionHandler for ControlHandler {
     type Listener = UnixListener;
-    type Stream = UnixStream;
-
-    fn accept(listener: &UnixListener) -> io::Result<UnixStream> {
-        listener.accept().map(|(stream, _)| stream)
-    }
 
     fn serve(&self, stream: UnixStream) -> io::Result<Rc<dyn ManagedConnection>> {
         let connection =
