Send no write again on a connection that came up after its retry window

Cause: whether a write with an idempotency key may be sent again was looked at when the retry was decided, not when it was written; the connection may take the connect timeout in between.

Change: the engine states with each attempt how long it may wait to be sent (`AttemptLimits::send_within`); an attempt that is not written by then ends as superseded.

The new process test failed 3 of 3 without the limit, the engine test too.

--- a/crates/request-runtime/src/attempt.rs
+++ b/crates/request-runtime/src/attempt.rs
@@ -30,6 +30,8 @@
     pub endpoint: EndpointId,
     /// The time limit of the attempt, counted from `issued_at`.
     pub timeout: Duration,
+    /// The time after which the attempt must not be sent any more; `None` if only its time limit applies.
+    pub send_by: Option<Instant>,
     /// How the endpoint fills a miss. `None` for a cache-only read.
     pub directives: Option<FillDirectives>,
     /// When the routing engine issued the attempt.
@@ -37,6 +39,11 @@
 }
 
 impl Attempt {
+    /// Returns whether the attempt may be sent at `now`, as far as `send_by` is concerned.
+    pub fn may_be_sent_at(&self, now: Instant) -> bool {
+        self.send_by.is_none_or(|send_by| now < send_by)
+    }
+
     /// Returns the endpoint that a miss is filled from. `None` for a cache-only read.
     pub fn source(&self) -> Option<EndpointId> {
         self.directives.map(|directives| directives.source)
--- a/crates/request-runtime/src/engine_host.rs
+++ b/crates/request-runtime/src/engine_host.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tindoor::host::{EndpointId, FillDirectives, Host, QuotaCharge, RequestSlot};
+use tindoor::host::{AttemptLimits, EndpointId, FillDirectives, Host, QuotaCharge, RequestSlot};
 use tindoor::time::Span;
 
 use crate::{Action, AdmissionGate, Attempt, AttemptCharge, Mailbox, WakeTimer};
@@ -101,7 +101,7 @@
         &mut self,
         slot: RequestSlot,
         endpoint: EndpointId,
-        timeout: Span,
+        limits: AttemptLimits,
         directives: Option<FillDirectives>,
     ) {
         let source = directives.map(|directives| directives.source);
@@ -111,9 +111,11 @@
         entry.referenced.extend([Some(endpoint), source].into_iter().flatten());
         [Some(endpoint), source].into_iter().flatten().for_each(|endpoint| self.count_reference(endpoint));
         tracing::debug!(request = slot.0, index, endpoint = endpoint.0, "attempt queued");
-        let timeout = Duration::from_micros(timeout.as_micros());
+        let timeout = Duration::from_micros(limits.timeout.as_micros());
         let issued_at = Instant::now();
-        self.push(slot, Action::Send(Attempt { index, endpoint, timeout, directives, issued_at }));
+        let send_within = limits.send_within.map(|span| Duration::from_micros(span.as_micros()));
+        let send_by = send_within.map(|within| issued_at + within);
+        self.push(slot, Action::Send(Attempt { index, endpoint, timeout, send_by, directives, issued_at }));
     }
 
     fn count_reference(&mut self, endpoint: EndpointId) {
@@ -124,18 +126,18 @@
 }
 
 impl Host for EngineHost {
-    fn send_cache_only(&mut self, slot: RequestSlot, endpoint: EndpointId, timeout: Span) {
-        self.send(slot, endpoint, timeout, None);
+    fn send_cache_only(&mut self, slot: RequestSlot, endpoint: EndpointId, limits: AttemptLimits) {
+        self.send(slot, endpoint, limits, None);
     }
 
     fn send_with_fill(
         &mut self,
         slot: RequestSlot,
         endpoint: EndpointId,
-        timeout: Span,
+        limits: AttemptLimits,
         directives: FillDirectives,
     ) {
-        self.send(slot, endpoint, timeout, Some(directives));
+        self.send(slot, endpoint, limits, Some(directives));
     }
 
     fn cancel(&mut self, slot: RequestSlot, attempt_index: u16) {
--- a/crates/router/src/downstream/request.rs
+++ b/crates/router/src/downstream/request.rs
@@ -75,20 +75,15 @@
 }
 
 impl ClientTransport<'_> {
-    /// Runs one attempt within its timeout.
+    /// Runs one attempt within its time limits.
     async fn run_attempt(&self, attempt: Attempt) -> AttemptResult {
         let request = AttemptRequest::new(self, attempt);
         let exchange = self.state.endpoints.exchange(attempt.endpoint, &request, &self.state.memory);
-        let finished = async { Some(exchange.await) };
-        let timeout = async {
-            Timer::at(request.deadline).await;
-            None
+        let time_limit = async {
+            let status = request.time_limit_reached().await;
+            AttemptResult::without_response(status)
         };
-        match future::or(finished, timeout).await {
-            Some(result) => result,
-            None if request.is_sent.get() => AttemptResult::without_response(AttemptStatus::TimedOut),
-            None => AttemptResult::without_response(AttemptStatus::Unreachable),
-        }
+        future::or(exchange, time_limit).await
     }
 }
 
@@ -121,6 +116,18 @@
         }
     }
 
+    /// Waits until the attempt reaches one of its time limits. Returns the status with which it then ends.
+    async fn time_limit_reached(&self) -> AttemptStatus {
+        if let Some(send_by) = self.attempt.send_by.filter(|send_by| *send_by < self.deadline) {
+            Timer::at(send_by).await;
+            if !self.is_sent.get() {
+                return AttemptStatus::Superseded;
+            }
+        }
+        Timer::at(self.deadline).await;
+        if self.is_sent.get() { AttemptStatus::TimedOut } else { AttemptStatus::Unreachable }
+    }
+
     fn endpoint_request(&self, timeout_ms: u64) -> EndpointRequest<'_> {
         let directives = self.attempt.directives;
         let max_age = directives.and_then(|directives| directives.max_age);
@@ -145,11 +152,13 @@
         // changed.
         connection.let_reader_catch_up().await;
         let is_client_waiting = connection.is_client_waiting(state.limits.client.max_read_backlog);
-        let time_remaining = self.deadline.saturating_duration_since(Instant::now());
+        let now = Instant::now();
+        let time_remaining = self.deadline.saturating_duration_since(now);
         let timeout_ms = time_remaining.as_millis() as u64;
         let source = self.attempt.source();
         let is_current = state.endpoints.snapshot(self.attempt.endpoint, source) == self.snapshot;
-        let may_send = is_current && is_client_waiting && timeout_ms > 0;
+        let is_in_time = timeout_ms > 0 && self.attempt.may_be_sent_at(now);
+        let may_send = is_current && is_client_waiting && is_in_time;
         may_send.then(|| self.endpoint_request(timeout_ms).encode_head())
     }
 
@@ -158,6 +167,9 @@
     }
 
     fn mark_sent(&self) {
+        let OpenCall { slot, .. } = self.transport.open_call;
+        let (index, after_ms) = (self.attempt.index, self.attempt.issued_at.elapsed().as_millis() as u64);
+        tracing::debug!(request = slot.0, index, after_ms, "attempt sent");
         self.is_sent.set(true);
     }
 }
--- a/crates/router/tests/upstream.rs
+++ b/crates/router/tests/upstream.rs
@@ -3,11 +3,19 @@
 mod support;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use support::*;
 use tindoor_testbed::stand_in::*;
 
+/// The time within which a write may be sent again.
+const RETRY_WINDOW: Duration = Duration::from_millis(600);
+/// How long after a client's write the system has repeated a connect that a full backlog dropped (the first
+/// repetition comes after 1 s), and the connection is established.
+const LATE_CONNECT: Duration = Duration::from_secs(2);
+
 #[test]
 fn an_incomplete_or_malformed_response_is_never_forwarded() {
     let answers: Vec<Vec<u8>> = vec![
@@ -154,6 +162,36 @@
     assert_eq!(requests.change(|requests| requests.clone()), [""; 0]);
 }
 
+#[test]
+fn a_write_is_not_sent_again_on_a_connection_established_after_its_retry_window() {
+    let mut origin = FullBacklogCache::start_unfilled();
+    let fixture = fixture_with(
+        |_| Behavior::Hang,
+        |configuration| {
+            configuration["settings"]["limits"]["connect_timeout"] = json!(60_000_000);
+            configuration["settings"]["request_classes"][1]["window"] =
+                json!(RETRY_WINDOW.as_micros() as u64);
+            let entries = &mut configuration["known"]["results"][0]["fleet"]["members"];
+            entries[2]["host_port"] = json!(origin.address.to_string());
+        },
+    );
+    let mut client = Client::connect(&fixture.router);
+    let fields = [("route", "saves"), ("nonce", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")];
+    let fields: Vec<_> = fields.into_iter().chain(page(OBJECT, "3000").into_iter().skip(1)).collect();
+    let sent_at = Instant::now();
+    client.send(&call(1, &fields, b"write"));
+    origin.break_off_request();
+    origin.wait_for_connect();
+    assert!(sent_at.elapsed() < RETRY_WINDOW, "the retry began after the window");
+    thread::sleep(RETRY_WINDOW.saturating_sub(sent_at.elapsed()));
+    let requests = origin.open();
+    let reply = client.reply();
+    assert!(matches!(reply, (1, Reply::Rejected(_))), "{reply:?}");
+    assert!(sent_at.elapsed() < LATE_CONNECT, "rejected after {:?}", sent_at.elapsed());
+    thread::sleep(LATE_CONNECT.saturating_sub(sent_at.elapsed()));
+    assert_eq!(requests.change(|requests| requests.clone()), [""; 0]);
+}
+
 #[test]
 fn a_request_on_a_connection_established_after_a_purge_accepts_no_older_copy() {
     let stuck = FullBacklogCache::start();
--- a/crates/simulator-adapter/src/host.rs
+++ b/crates/simulator-adapter/src/host.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use anyhow::{Result, ensure};
-use tindoor::host::{EndpointId, FillDirectives, Host, RequestSlot};
+use tindoor::host::{AttemptLimits, EndpointId, FillDirectives, Host, RequestSlot};
 use tindoor::time::Span;
 
 /// The action codes on the wire.
@@ -165,17 +165,17 @@
 }
 
 impl Host for AdapterHost {
-    fn send_cache_only(&mut self, slot: RequestSlot, endpoint: EndpointId, timeout: Span) {
+    fn send_cache_only(&mut self, slot: RequestSlot, endpoint: EndpointId, limits: AttemptLimits) {
         self.request_mut(slot).in_flight += 1;
         let (request, address) = (self.wire_id(slot), self.address(endpoint));
-        self.push_action(code::SEND_CACHE_ONLY, &[&request, &encode_span(timeout), &address]);
+        self.push_action(code::SEND_CACHE_ONLY, &[&request, &encode_span(limits.timeout), &address]);
     }
 
     fn send_with_fill(
         &mut self,
         slot: RequestSlot,
         endpoint: EndpointId,
-        timeout: Span,
+        limits: AttemptLimits,
         directives: FillDirectives,
     ) {
         self.request_mut(slot).in_flight += 1;
@@ -187,7 +187,7 @@
                 &encode_optional_span(directives.max_age),
                 &self.address(directives.source),
                 &[encode_fill_flags(&directives)],
-                &encode_span(timeout),
+                &encode_span(limits.timeout),
                 &[directives.retention_rank],
             ],
         );
--- a/crates/testbed/src/stand_in/full_backlog.rs
+++ b/crates/testbed/src/stand_in/full_backlog.rs
@@ -31,18 +31,39 @@
 impl FullBacklogCache {
     /// Starts a cache on a free port and fills its backlog.
     pub fn start() -> Self {
+        let mut cache = Self::start_unfilled();
+        cache.fill_backlog();
+        cache
+    }
+
+    /// Starts a cache on a free port whose backlog is short and not filled yet.
+    pub fn start_unfilled() -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
         socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
         socket.listen(0).unwrap();
         let address = socket.local_addr().unwrap().as_socket().unwrap();
+        Self { address, accepted: Watched::default(), socket, fillers: Vec::new() }
+    }
+
+    /// Fills the backlog, so that connects neither succeed nor fail from now on.
+    fn fill_backlog(&mut self) {
+        let address = self.address.into();
         let fill = |_| {
             let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
             filler.set_nonblocking(true).unwrap();
-            let _ = filler.connect(&address.into());
+            let _ = filler.connect(&address);
             filler
         };
-        let fillers = (0..FILLER_CONNECTIONS).map(fill).collect();
-        Self { address, accepted: Watched::default(), socket, fillers }
+        self.fillers = (0..FILLER_CONNECTIONS).map(fill).collect();
+    }
+
+    /// Reads one request, fills the backlog, and then closes the connection of the request without a
+    /// response. Must be called while the backlog is not filled.
+    pub fn break_off_request(&mut self) {
+        let (mut stream, _) = self.socket.accept().unwrap();
+        let received = stream.read(&mut [0; 4096]).unwrap();
+        assert!(received > 0, "the connection ended before a request");
+        self.fill_backlog();
     }
 
     fn filler_addresses(&self) -> Vec<SocketAddr> {
--- a/src/engine/attempts.rs
+++ b/src/engine/attempts.rs
@@ -8,7 +8,7 @@
 //! 4. Warming endpoints are not overloaded.
 //! 5. Copies from before a purge are not served.
 
-use crate::host::{AttemptStatus, EndpointId, FillDirectives, Host, QuotaCharge, RequestSlot};
+use crate::host::{AttemptLimits, AttemptStatus, EndpointId, FillDirectives, Host, QuotaCharge, RequestSlot};
 use crate::settings::{Idempotency, RetryScope};
 use crate::time::Span;
 
@@ -62,7 +62,10 @@
         let is_stored = !self.class(class).runs_at_origin;
         let is_retry = request.attempts.iter().any(Attempt::fills_misses);
         let freshness = self.freshness(request, plan, is_retry);
-        let timeout = self.attempt_timeout(request);
+        let limits = AttemptLimits {
+            timeout: self.attempt_timeout(request),
+            send_within: self.retry_window_remaining(request),
+        };
         let silence_timeout = self.silence_timeout(plan.endpoint);
         let attempt = AttemptId { request: request.id, index: request.attempts.len() as u16 };
         let charge = self.quota_charge(request, plan);
@@ -79,9 +82,9 @@
                     refresh: freshness.refresh,
                     retention_rank: u8::from(is_stored),
                 };
-                self.host.send_with_fill(slot, plan.endpoint, timeout, directives);
+                self.host.send_with_fill(slot, plan.endpoint, limits, directives);
             }
-            None => self.host.send_cache_only(slot, plan.endpoint, timeout),
+            None => self.host.send_cache_only(slot, plan.endpoint, limits),
         }
         self.recent_attempts.add(is_retry);
         self.record_sent(slot, plan, class, attempt);
@@ -106,18 +109,26 @@
     /// Rule 2: a request that may have run is sent again only where running it twice does no harm.
     fn rule_2_permits_retry(&self, request: &Request, endpoint: EndpointId) -> bool {
         let class = self.class(request.meta.class);
-        let Some(FirstRun { at, endpoint: first }) = request.first_run() else { return true };
+        let Some(FirstRun { endpoint: first, .. }) = request.first_run() else { return true };
         match class.idempotency {
             Idempotency::Idempotent => true,
             Idempotency::WithKey => {
-                let age = self.now.since(at) + RETRY_WINDOW_MARGIN;
                 self.is_in_retry_scope(class.retry_scope, first, endpoint)
-                    && age < class.retry_window.unwrap_or_default()
+                    && self.retry_window_remaining(request).is_none_or(|remaining| remaining > Span::ZERO)
             }
             Idempotency::NonIdempotent => false,
         }
     }
 
+    /// Rule 2: returns how long a request that may have run can still be sent again with its idempotency key;
+    /// `None` if the request is subject to no retry window.
+    fn retry_window_remaining(&self, request: &Request) -> Option<Span> {
+        let class = self.class(request.meta.class);
+        let first_run = request.first_run().filter(|_| class.idempotency == Idempotency::WithKey)?;
+        let window_end = first_run.at + class.retry_window.unwrap_or_default();
+        Some(window_end.since(self.now + RETRY_WINDOW_MARGIN))
+    }
+
     fn is_in_retry_scope(&self, scope: RetryScope, first: EndpointId, endpoint: EndpointId) -> bool {
         let entry = |id: EndpointId| &self.endpoints[id].entry;
         let is_same_location = || entry(first).location == entry(endpoint).location;
--- a/src/host.rs
+++ b/src/host.rs
@@ -205,19 +205,30 @@
     pub is_retry: bool,
 }
 
+/// The time limits of one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AttemptLimits {
+    /// The time, from now, after which the attempt ends without a response.
+    pub timeout: Span,
+    /// The time, from now, after which the attempt must not be sent any more, for example because the
+    /// connection to the endpoint came up late; `None` if it may be sent until its timeout. An attempt that is
+    /// not sent in time ends with [`AttemptStatus::Superseded`].
+    pub send_within: Option<Span>,
+}
+
 /// The methods that the routing engine calls to carry out its decisions.
 ///
 /// Every call takes effect immediately, in the order in which the engine makes the calls.
 pub trait Host {
     /// Sends an attempt to an endpoint that answers only from its own fresh copy, or that runs the request
     /// itself.
-    fn send_cache_only(&mut self, slot: RequestSlot, endpoint: EndpointId, timeout: Span);
+    fn send_cache_only(&mut self, slot: RequestSlot, endpoint: EndpointId, limits: AttemptLimits);
     /// Sends an attempt to an endpoint that may fill a miss.
     fn send_with_fill(
         &mut self,
         slot: RequestSlot,
         endpoint: EndpointId,
-        timeout: Span,
+        limits: AttemptLimits,
         directives: FillDirectives,
     );
     /// Cancels the request's attempt with this index, counted from 0. The end of the attempt is still
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,11 +8,11 @@
 //! use tindoor::{engine::RoutingEngine, host::*, settings::*, time::*};
 //! struct Printer;
 //! impl Host for Printer {
-//!     fn send_cache_only(&mut self, request: RequestSlot, endpoint: EndpointId, _: Span) {
+//!     fn send_cache_only(&mut self, request: RequestSlot, endpoint: EndpointId, _: AttemptLimits) {
 //!         println!("{request:?} to {endpoint:?}")
 //!     }
 //!     fn send_with_fill(
-//!         &mut self, request: RequestSlot, endpoint: EndpointId, _: Span, fill: FillDirectives,
+//!         &mut self, request: RequestSlot, endpoint: EndpointId, _: AttemptLimits, fill: FillDirectives,
 //!     ) {
 //!         println!("{request:?} to {endpoint:?}, filling a miss from {:?}", fill.source)
 //!     }
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -33,6 +33,34 @@
     assert!(matches!(router.advance(100)[..], [Action::Reject(2, _)]));
 }
 
+#[test]
+fn a_retry_with_an_idempotency_key_must_be_sent_within_the_rest_of_its_window() {
+    let mut router = start_router(&endpoint_list(), &[]);
+    router.request(2, 1);
+    assert_eq!(router.send_within(), None, "nothing has run before the first attempt");
+    assert_eq!(router.advance(400), []);
+    router.end_attempt(0, AttemptStatus::Incomplete, OutcomeDetail::Unknown, 400);
+    assert_eq!(router.advance(100), [Action::SendCacheOnly(1, 6)]);
+    let rest = router.send_within().expect("the retry has a limit");
+    let window = Span::secs(3.0);
+    assert!(rest <= window - Span::millis(400) && rest >= window - Span::millis(550), "{rest:?}");
+}
+
+#[test]
+fn an_idempotent_request_and_one_that_did_not_run_are_sent_again_at_any_time() {
+    for (class, status) in [(0, AttemptStatus::Error), (2, AttemptStatus::Unreachable)] {
+        let mut router = start_router(&endpoint_list(), &[]);
+        router.request(class, 1);
+        let mut actions = router.end_attempt(0, status, OutcomeDetail::Unknown, 10);
+        actions.extend(router.advance(100));
+        assert!(
+            matches!(actions[..], [Action::SendWithFill { .. } | Action::SendCacheOnly(..)]),
+            "{actions:?}"
+        );
+        assert_eq!(router.send_within(), None);
+    }
+}
+
 #[test]
 fn a_request_is_rejected_after_two_caches_were_overloaded() {
     let mut router = start_router(&endpoint_list(), &[]);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -30,20 +30,26 @@
 
 /// A host that records the calls of the engine.
 #[derive(Default)]
-pub struct RecordingHost(pub Vec<Action>);
+pub struct RecordingHost {
+    pub actions: Vec<Action>,
+    /// The limits of the attempt that was sent last.
+    pub last_limits: Option<AttemptLimits>,
+}
 
 impl Host for RecordingHost {
-    fn send_cache_only(&mut self, slot: RequestSlot, endpoint: EndpointId, _: Span) {
-        self.0.push(Action::SendCacheOnly(slot.0, endpoint.0));
+    fn send_cache_only(&mut self, slot: RequestSlot, endpoint: EndpointId, limits: AttemptLimits) {
+        self.last_limits = Some(limits);
+        self.actions.push(Action::SendCacheOnly(slot.0, endpoint.0));
     }
     fn send_with_fill(
         &mut self,
         slot: RequestSlot,
         endpoint: EndpointId,
-        _: Span,
+        limits: AttemptLimits,
         directives: FillDirectives,
     ) {
-        self.0.push(Action::SendWithFill {
+        self.last_limits = Some(limits);
+        self.actions.push(Action::SendWithFill {
             slot: slot.0,
             endpoint: endpoint.0,
             source: directives.source.0,
@@ -54,13 +60,13 @@
         });
     }
     fn cancel(&mut self, slot: RequestSlot, index: u16) {
-        self.0.push(Action::Cancel(slot.0, index));
+        self.actions.push(Action::Cancel(slot.0, index));
     }
     fn reject(&mut self, slot: RequestSlot, retry_after: Option<Span>) {
-        self.0.push(Action::Reject(slot.0, retry_after));
+        self.actions.push(Action::Reject(slot.0, retry_after));
     }
     fn fail(&mut self, slot: RequestSlot) {
-        self.0.push(Action::Fail(slot.0));
+        self.actions.push(Action::Fail(slot.0));
     }
     fn set_timer(&mut self, _: Span) {}
     fn watch_endpoints(&mut self) {}
@@ -134,7 +140,12 @@
             self.engine.set_time(Moment::at_micros(START + self.millis * 1000));
             self.engine.timer_fired();
         }
-        std::mem::take(&mut self.engine.host().0)
+        std::mem::take(&mut self.engine.host().actions)
+    }
+
+    /// Returns the time within which the last attempt must be sent; `None` if it may be sent at any time.
+    pub fn send_within(&mut self) -> Option<Span> {
+        self.engine.host().last_limits.expect("an attempt was sent").send_within
     }
 
     /// Receives a request for an object of group 9 with `millis` milliseconds remaining.
