--- a/crates/testbed/src/external_processing/client.rs
+++ b/crates/testbed/src/external_processing/client.rs
@@ -14,10 +14,12 @@
 
 /// How long a client waits for a complete answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
-/// The maximum number of times that a rejected save is sent, including the first time.
-const SAVE_ATTEMPTS: u32 = 3;
-/// How long a client waits before it retries a save, in milliseconds, if the answer does not state a pause.
-const DEFAULT_BACKOFF_MS: u64 = 30;
+/// The maximum number of times that a request is sent, not counting those rejected because of overload.
+const MAX_ATTEMPTS: u32 = 3;
+/// How long a client waits before a retry if the answer does not state a pause.
+const DEFAULT_BACKOFF: Duration = Duration::from_millis(30);
+/// How long a client goes on retrying a request.
+const OVERLOAD_PATIENCE: Duration = Duration::from_secs(10);
 
 /// Runs one client, which sends one request after another, each to a random proxy.
 pub(super) async fn run(workload: Arc<Workload>, index: u64) {
@@ -44,11 +46,15 @@
 }
 
 /// A request of a client, before it is sent.
+#[derive(Clone, Copy)]
 struct ClientRequest<'a> {
     /// Index of the proxy that receives the request.
     proxy: usize,
     path: &'a str,
-    headers: &'a [(&'a str, &'a str)],
+    /// The idempotency key of a save.
+    idempotency_key: Option<&'a str>,
+    /// Whether the client sent the request before.
+    is_retry: bool,
     /// Name of the fault, empty for none.
     fault: &'a str,
     correlation_id: u64,
@@ -60,6 +66,21 @@
     fields: Fields,
 }
 
+impl ClientResponse {
+    /// Returns whether the router rejected the request because of overload, so that the client is to retry it
+    /// after the stated pause.
+    fn is_overload_rejection(&self) -> bool {
+        let reason = self.fields.get("x-tindoor-reason").map(String::as_str);
+        self.status == 503 && reason == Some("given-up") && self.pause().is_some()
+    }
+
+    /// Returns the pause before a retry, as stated in the answer.
+    fn pause(&self) -> Option<Duration> {
+        let pause_ms = self.fields.get("x-tindoor-pause-ms")?.parse().ok()?;
+        Some(Duration::from_millis(pause_ms))
+    }
+}
+
 struct Client<'a> {
     workload: &'a Workload,
     random: Pcg64Mcg,
@@ -94,43 +115,55 @@
             false => object(index),
         };
         let path = format!("/v1/store/pages/{object}/0");
-        let correlation_id = self.random.random();
-        self.connections
-            .send(ClientRequest { proxy, path: &path, headers: &[], fault, correlation_id })
-            .await;
+        let request = ClientRequest {
+            proxy,
+            path: &path,
+            idempotency_key: None,
+            is_retry: false,
+            fault,
+            correlation_id: self.random.random(),
+        };
+        // A read that is made to fail is sent once, so that it is counted once.
+        let max_attempts = if must_fail || !fault.is_empty() { 1 } else { MAX_ATTEMPTS };
+        self.send_with_retries(request, max_attempts).await;
     }
 
     async fn save(&mut self, proxy: usize, fault: &str, idempotency_key: &str) {
         let path = format!("/v1/store/saves/{}/0", object(self.random.random_range(0..OBJECTS)));
+        let request = ClientRequest {
+            proxy,
+            path: &path,
+            idempotency_key: Some(idempotency_key),
+            is_retry: false,
+            fault: "",
+            correlation_id: self.random.random(),
+        };
         match fault {
-            "ask-twice" => self.save_on_both_proxies(proxy, &path, idempotency_key).await,
-            _ => self.save_with_retries(proxy, &path, fault, idempotency_key).await,
+            "ask-twice" => self.save_on_both_proxies(request).await,
+            _ => self.send_with_retries(ClientRequest { fault, ..request }, MAX_ATTEMPTS).await,
         }
     }
 
     /// Sends a save with the same idempotency key to both proxies at once.
-    async fn save_on_both_proxies(&mut self, proxy: usize, path: &str, idempotency_key: &str) {
-        let headers = &[("x-nonce", idempotency_key)];
-        let (first, second) = (self.random.random(), self.random.random());
+    async fn save_on_both_proxies(&mut self, first: ClientRequest<'_>) {
         let mut other = Connections::new(self.workload);
-        let request =
-            |proxy, correlation_id| ClientRequest { proxy, path, headers, fault: "", correlation_id };
-        tokio::join!(self.connections.send(request(proxy, first)), other.send(request(1 - proxy, second)));
+        let second = ClientRequest { proxy: 1 - first.proxy, correlation_id: self.random.random(), ..first };
+        tokio::join!(self.connections.send(first), other.send(second));
     }
 
-    /// Sends a save and, as long as it is rejected, retries it with the same idempotency key.
-    async fn save_with_retries(&mut self, proxy: usize, path: &str, fault: &str, idempotency_key: &str) {
-        let first_headers = [("x-nonce", idempotency_key)];
-        let retry_headers = [("x-nonce", idempotency_key), ("x-redo", "1")];
-        let mut headers = &first_headers[..];
-        for _ in 0..SAVE_ATTEMPTS {
-            let correlation_id = self.random.random();
-            let response =
-                self.connections.send(ClientRequest { proxy, path, headers, fault, correlation_id }).await;
-            let Some(ClientResponse { status: 502 | 503, fields }) = response else { break };
-            let backoff_ms = fields.get("x-tindoor-pause-ms").and_then(|ms| ms.parse().ok());
-            tokio::time::sleep(Duration::from_millis(backoff_ms.unwrap_or(DEFAULT_BACKOFF_MS))).await;
-            headers = &retry_headers;
+    /// Sends a request and, as long as it fails or is rejected, retries it after the stated pause. Retries after
+    /// overload rejections are limited by the client's patience, all others by `max_attempts`.
+    async fn send_with_retries(&mut self, mut request: ClientRequest<'_>, max_attempts: u32) {
+        let patience_end = Instant::now() + OVERLOAD_PATIENCE;
+        let mut attempts = 0;
+        while let Some(response) = self.connections.send(request).await {
+            let is_retryable = matches!(response.status, 502 | 503);
+            attempts += u32::from(!response.is_overload_rejection());
+            if !is_retryable || attempts >= max_attempts || Instant::now() > patience_end {
+                break;
+            }
+            tokio::time::sleep(response.pause().unwrap_or(DEFAULT_BACKOFF)).await;
+            request = ClientRequest { is_retry: true, correlation_id: self.random.random(), ..request };
         }
     }
 }
@@ -197,8 +230,11 @@
         "GET {} HTTP/1.1\r\nx-ticket: {correlation_id}\r\nx-max-ms: 3000\r\nx-group: 17\r\n",
         request.path
     );
-    for (name, value) in request.headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
+    if let Some(key) = request.idempotency_key {
+        head.push_str(&format!("x-nonce: {key}\r\n"));
+    }
+    if request.is_retry {
+        head.push_str("x-redo: 1\r\n");
     }
     // The client itself injects `leave` and `ask-twice`; the proxy injects all other faults.
     if !["", "leave", "ask-twice"].contains(&request.fault) {
