Let the test of the standard service client pass nothing but traced overload

Cause: the replaced test let `502 ticket` pass, which was explained by reading and not by a trace, and reads were retried where faults are injected, which made the other experiments' share of served requests easier to reach. Change: no failure is let pass; reads and saves come again after an overload rejection only where no faults are injected, else as before.

--- a/crates/router/tests/external_processing.rs
+++ b/crates/router/tests/external_processing.rs
@@ -17,8 +17,6 @@
 /// The router rejects no request as long as responses take less than this time, which is 0.45 of the latency
 /// objective of 300 ms.
 const UNCONGESTED_RESPONSE: Duration = Duration::from_millis(135);
-/// The time within which a proxy must use a decision.
-const USE_WITHIN: Duration = Duration::from_millis(200);
 
 fn experiment(seed: u64, requests: u64, faults: &str, without: Option<&str>) -> Figures {
     let (faults, without) = (Plan::faults(faults).unwrap(), without.map(str::to_string));
@@ -36,17 +34,14 @@
     let table = figures.table();
     assert_eq!(figures.rules_broken, 0, "{table}");
     assert_eq!(figures.done, REQUESTS, "{table}");
+    // A request is sent again only if it was rejected because of overload.
+    assert_eq!(figures.failed, 0, "{table}");
+    assert_eq!(figures.requests, figures.done + figures.rejected, "{table}");
     let reasons = figures.more["ends_by_reason"].as_object().unwrap();
-    assert!(
-        reasons.keys().all(|reason| ["503 given-up", "502 ticket"].contains(&reason.as_str())),
-        "{table}"
-    );
-    let slowest = |name: &str| Duration::from_micros(figures.more[name].as_u64().unwrap());
-    let is_overloaded = slowest("view_us_max") >= UNCONGESTED_RESPONSE;
+    assert!(reasons.keys().all(|reason| reason == "503 given-up"), "{table}");
+    let slowest = Duration::from_micros(figures.more["view_us_max"].as_u64().unwrap());
+    let is_overloaded = slowest >= UNCONGESTED_RESPONSE;
     assert!(figures.rejected == 0 || is_overloaded, "rejected though responses were in time: {table}");
-    // A proxy that can't use a decision in time calls again, and the router waits for that call only briefly.
-    let was_decision_late = slowest("choice_us_max") >= USE_WITHIN;
-    assert!(figures.failed == 0 || was_decision_late, "failed though decisions were in time: {table}");
 }
 
 #[test]
--- a/crates/testbed/src/external_processing/client.rs
+++ b/crates/testbed/src/external_processing/client.rs
@@ -14,11 +14,11 @@
 
 /// How long a client waits for a complete answer.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
-/// The maximum number of times that a request is sent, not counting those rejected because of overload.
-const MAX_ATTEMPTS: u32 = 3;
+/// The maximum number of times that a rejected save is sent, including the first time.
+const SAVE_ATTEMPTS: u32 = 3;
 /// How long a client waits before a retry if the answer does not state a pause.
 const DEFAULT_BACKOFF: Duration = Duration::from_millis(30);
-/// How long a client goes on retrying a request.
+/// How long a client goes on retrying a request that is rejected because of overload.
 const OVERLOAD_PATIENCE: Duration = Duration::from_secs(10);
 
 /// Runs one client, which sends one request after another, each to a random proxy.
@@ -123,9 +123,7 @@
             fault,
             correlation_id: self.random.random(),
         };
-        // A read that is made to fail is sent once, so that it is counted once.
-        let max_attempts = if must_fail || !fault.is_empty() { 1 } else { MAX_ATTEMPTS };
-        self.send_with_retries(request, max_attempts).await;
+        self.send_with_retries(request, 1).await;
     }
 
     async fn save(&mut self, proxy: usize, fault: &str, idempotency_key: &str) {
@@ -140,7 +138,7 @@
         };
         match fault {
             "ask-twice" => self.save_on_both_proxies(request).await,
-            _ => self.send_with_retries(ClientRequest { fault, ..request }, MAX_ATTEMPTS).await,
+            _ => self.send_with_retries(ClientRequest { fault, ..request }, SAVE_ATTEMPTS).await,
         }
     }
 
@@ -151,14 +149,16 @@
         tokio::join!(self.connections.send(first), other.send(second));
     }
 
-    /// Sends a request and, as long as it fails or is rejected, retries it after the stated pause. Retries after
-    /// overload rejections are limited by the client's patience, all others by `max_attempts`.
+    /// Sends a request and, as long as it fails or is rejected, retries it after the stated pause, up to
+    /// `max_attempts` times in all. Where no faults are injected, overload rejections don't count as attempts:
+    /// the client's patience limits them.
     async fn send_with_retries(&mut self, mut request: ClientRequest<'_>, max_attempts: u32) {
         let patience_end = Instant::now() + OVERLOAD_PATIENCE;
+        let is_patient = self.workload.plan.faults.is_empty();
         let mut attempts = 0;
         while let Some(response) = self.connections.send(request).await {
             let is_retryable = matches!(response.status, 502 | 503);
-            attempts += u32::from(!response.is_overload_rejection());
+            attempts += u32::from(!is_patient || !response.is_overload_rejection());
             if !is_retryable || attempts >= max_attempts || Instant::now() > patience_end {
                 break;
             }
--- a/crates/testbed/src/external_processing/mod.rs
+++ b/crates/testbed/src/external_processing/mod.rs
@@ -226,10 +226,9 @@
             }
         }
         let quantile = |histogram: &Histogram<u64>, part| json!(histogram.value_at_quantile(part));
-        let more: [(&str, Value); 12] = [
+        let more: [(&str, Value); 11] = [
             ("choices", json!(decisions.len())),
             ("choice_us_median", quantile(&decisions, 0.5)),
-            ("choice_us_max", json!(decisions.max())),
             ("choice_us_99", quantile(&decisions, 0.99)),
             ("view_us_median", quantile(&counts.latency_us, 0.5)),
             ("view_us_99", quantile(&counts.latency_us, 0.99)),
--- a/src/host.rs
+++ b/src/host.rs
@@ -211,8 +211,8 @@
     /// The time, from now, after which the attempt ends without a response.
     pub timeout: Span,
     /// The time, from now, after which the attempt must not be sent any more, for example because the
-    /// connection to the endpoint came up late; `None` if it may be sent until its timeout. An attempt that is
-    /// not sent in time ends with [`AttemptStatus::Superseded`].
+    /// connection to the endpoint came up late; `None` if it may be sent until its timeout. An attempt that
+    /// is not sent in time ends with [`AttemptStatus::Superseded`].
     pub send_within: Option<Span>,
 }
 
