Review: incomplete frames of bad clients take the router over its memory

With memory_mb 32 and 1,024 descriptors, 320 clients each send a frame that is a byte short of its stated 65,536 bytes. Incomplete frames are charged to no budget; the router holds 39 to 42 MB.

--- a/review/common-2/late_write.rs
+++ b/review/common-2/late_write.rs
@@ -170,6 +170,7 @@
             window_ms: WINDOW_MS,
             goes_through: true,
         }],
+        memory_mb: 192,
         drain_grace_ms: 2000,
         purge_grace_ms: 500,
     }
--- a/review/common-2/lib.rs
+++ b/review/common-2/lib.rs
@@ -136,6 +136,11 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Its process id.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, record: &Record, signal: &str) {
         record.line(format!("router {} gets SIG{signal}", self.name));
         let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {}", self.child.id())]).status();
@@ -309,6 +314,7 @@
     pub change_stream: SocketAddr,
     pub members: Vec<String>,
     pub classes: Vec<Class>,
+    pub memory_mb: u64,
     pub drain_grace_ms: u64,
     pub purge_grace_ms: u64,
 }
@@ -320,19 +326,21 @@
         let classes = each(&|class| {
             let Class { name, effect, deadline_ms, objective_ms, window_ms, .. } = class;
             format!(
-                "{{\"name\":\"{name}\",\"effect\":\"{effect}\",\"group\":\"all\",\"deadline\":{}000,\
-                 \"objective\":{}000,\"window\":{}000,\"late_value\":0,\"points\":3,\"stream\":false}}",
-                deadline_ms, objective_ms, window_ms
+                "{{\"name\":\"{name}\",\"effect\":\"{effect}\",\"group\":\"all\",\"deadline\":{},\
+                 \"objective\":{},\"window\":{},\"late_value\":0,\"points\":3,\"stream\":false}}",
+                deadline_ms * 1000,
+                objective_ms * 1000,
+                window_ms * 1000
             )
         });
         let zeros = each(&|_| "0".into());
         let through = each(&|class| class.goes_through.to_string());
         let (name, listen, change_stream) = (self.name, self.listen, self.change_stream);
         let members = self.members.join(",");
-        let (drain, purge) = (self.drain_grace_ms, self.purge_grace_ms);
+        let (drain, purge, memory_mb) = (self.drain_grace_ms * 1000, self.purge_grace_ms * 1000, self.memory_mb);
         let text = format!(
             "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"changelog\":\"{change_stream}\",\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory_mb},\"sockets\":1024}},\"changelog\":\"{change_stream}\",\
              \"flow_bytes_per_s\":310000,\"link_bytes_per_s\":1240000,\
              \"known\":{{\"seq\":1,\"results\":[{{\"seq\":1,\"fleet\":{{\"revision\":1,\"complete\":true,\
              \"members\":[{members}]}}}}]}},\
@@ -342,11 +350,11 @@
              \"limits\":{{\"cancelling\":true,\"conn_idle\":30000000,\"connect_timeout\":400000,\
              \"most_tries\":8,\"max_retry_after\":500000,\"retry_after\":true,\"second_copies\":false,\
              \"open_cap\":4096}},\
-             \"rules\":{{\"cold_share\":0.15,\"warm_within\":17000000,\"drain_grace\":{drain}000,\
+             \"rules\":{{\"cold_share\":0.15,\"warm_within\":17000000,\"drain_grace\":{drain},\
              \"overload_factor\":2.5,\"overload_for\":1500000}},\
              \"family_info\":{{\"bypass_allowed\":true,\"class_fresh\":[{zeros}],\"older_by\":[{zeros}],\
              \"worth_when_old\":[{zeros}],\"goes_through\":[{through}],\"gone_everywhere\":6000000,\
-             \"heed_within\":{purge}000,\"instances_by_zone\":[3],\"note_level\":\"all\",\"root_kind\":2,\
+             \"heed_within\":{purge},\"instances_by_zone\":[3],\"note_level\":\"all\",\"root_kind\":2,\
              \"second_tier_kind\":1,\"parent_floor\":0.077,\"parent_warms_in\":20000000,\
              \"parent_breaks_at\":2.0,\"client_kb_per_s\":9100.0,\"lateral\":\"any\",\"collapses\":true}}}}}}"
         );
