--- a/review/common-2/lib.rs
+++ b/review/common-2/lib.rs
@@ -19,10 +19,23 @@
 /// The header lines of a message, by lower-case name.
 pub type Fields = HashMap<String, String>;
 
+/// The processes that the case has started and not ended yet.
+static STARTED: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
+
+/// Ends all processes that the case started, then the case itself.
+fn exit(code: i32) -> ! {
+    for child in STARTED.lock().unwrap().iter() {
+        let mut child = child.lock().unwrap();
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    std::process::exit(code)
+}
+
 /// Ends the case as one that could not run.
 pub fn cannot_run(why: impl std::fmt::Display) -> ! {
     eprintln!("the case could not run: {why}");
-    std::process::exit(NOT_RUN)
+    exit(NOT_RUN)
 }
 
 pub fn unix_ms() -> u64 {
@@ -80,7 +93,7 @@
         let verdict = if broken { "RULE BROKEN" } else { "rule held" };
         self.record.line(format!("{verdict}: {why}"));
         println!("{verdict}: {why}");
-        std::process::exit(if broken { BROKEN } else { HELD })
+        exit(if broken { BROKEN } else { HELD })
     }
 }
 
@@ -89,9 +102,10 @@
     TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).unwrap_or_else(|e| cannot_run(e))
 }
 
-/// A process of the router. Killed when it is dropped.
+/// A process of the router. It is killed at the end of the case.
 pub struct Router {
-    child: Child,
+    child: Arc<Mutex<Child>>,
+    process: u32,
     log: PathBuf,
     name: String,
 }
@@ -115,8 +129,16 @@
             .stderr(output)
             .spawn()
             .unwrap_or_else(|error| cannot_run(error));
-        case.record.line(format!("router {name} started, process {}", child.id()));
-        let mut router = Self { child, log, name: name.to_string() };
+        let process = child.id();
+        let child = Arc::new(Mutex::new(child));
+        STARTED.lock().unwrap().push(Arc::clone(&child));
+        // For the script, should the case itself be ended.
+        let list = case.temporary.join("processes");
+        if let Ok(mut list) = std::fs::OpenOptions::new().create(true).append(true).open(list) {
+            let _ = writeln!(list, "{process}");
+        }
+        case.record.line(format!("router {name} started, process {process}"));
+        let mut router = Self { child, process, log, name: name.to_string() };
         let begun = Instant::now();
         while !router.log_text().contains(" ready ") {
             if begun.elapsed() > Duration::from_secs(20) || router.has_ended() {
@@ -133,31 +155,25 @@
     }
 
     pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
+        !matches!(self.child.lock().unwrap().try_wait(), Ok(None))
     }
 
     /// Its process id.
     pub fn process(&self) -> u32 {
-        self.child.id()
+        self.process
     }
 
     pub fn signal(&self, record: &Record, signal: &str) {
         record.line(format!("router {} gets SIG{signal}", self.name));
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {}", self.child.id())]).status();
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {}", self.process)]).status();
     }
 
     /// Ends the process by SIGKILL and waits for its end.
     pub fn kill(&mut self, record: &Record) {
         record.line(format!("router {} gets SIGKILL", self.name));
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for Router {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let mut child = self.child.lock().unwrap();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
