--- a/review/common-2/late_write.rs
+++ b/review/common-2/late_write.rs
@@ -161,7 +161,7 @@
         name: "n1",
         listen: free_address(),
         change_stream: stream.address,
-        members: vec![member("s-origin", address, "origin", "active", 0)],
+        members: vec![member("s-origin", address, "origin", "central")],
         classes: vec![Class {
             name: "progress-save",
             effect: "idempotency_key",
@@ -170,6 +170,9 @@
             window_ms: WINDOW_MS,
             goes_through: true,
         }],
+        zones: vec!["central".into()],
+        zone: 0,
+        bypass: true,
         memory_mb: 192,
         drain_grace_ms: 2000,
         purge_grace_ms: 500,
--- a/review/common-2/lib.rs
+++ b/review/common-2/lib.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::fs::File;
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -288,14 +288,6 @@
     [head.as_bytes(), body].concat()
 }
 
-/// Ends a connection so that the peer sees a reset: bytes of the peer stay unread at the close.
-pub fn reset(stream: &TcpStream) {
-    let _ = stream.set_nonblocking(true);
-    // SO_LINGER is not in the standard library: a close over unread bytes resets the connection as well, and
-    // a peer that waits for an answer reads either a reset or an early end. Both say that the answer is lost.
-    let _ = stream.shutdown(std::net::Shutdown::Both);
-}
-
 /// Sends one HTTP request on a new connection and reads the response.
 pub fn exchange(address: SocketAddr, request: &str, patience: Duration) -> io::Result<Message> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(1000))?;
@@ -315,11 +307,11 @@
     pub goes_through: bool,
 }
 
-/// A member of the list: id, address, kind.
-pub fn member(id: &str, address: SocketAddr, kind: &str, phase: &str, up_since_ms: u64) -> String {
+/// A member of the list, in service for long: its id, address and kind, and where it stands.
+pub fn member(id: &str, address: SocketAddr, kind: &str, locality: &str) -> String {
     format!(
-        "{{\"id\":\"{id}\",\"host_port\":\"{address}\",\"locality\":\"central\",\"flavor\":\"{kind}\",\"cell\":0,\
-         \"phase\":\"{phase}\",\"size\":4,\"up_since_ms\":{up_since_ms}}}"
+        "{{\"id\":\"{id}\",\"host_port\":\"{address}\",\"locality\":\"{locality}\",\"flavor\":\"{kind}\",\"cell\":0,\
+         \"phase\":\"active\",\"size\":4,\"up_since_ms\":0}}"
     )
 }
 
@@ -328,6 +320,11 @@
     pub name: &'a str,
     pub listen: SocketAddr,
     pub change_stream: SocketAddr,
+    /// The locations, and which of them is the router's.
+    pub zones: Vec<String>,
+    pub zone: usize,
+    /// Whether parents and the origin take requests too.
+    pub bypass: bool,
     pub members: Vec<String>,
     pub classes: Vec<Class>,
     pub memory_mb: u64,
@@ -352,7 +349,9 @@
         let zeros = each(&|_| "0".into());
         let through = each(&|class| class.goes_through.to_string());
         let (name, listen, change_stream) = (self.name, self.listen, self.change_stream);
-        let members = self.members.join(",");
+        let (members, zone, bypass) = (self.members.join(","), self.zone, self.bypass);
+        let zones = format!("\"{}\"", self.zones.join("\",\""));
+        let instances = vec!["3"; self.zones.len()].join(",");
         let (drain, purge, memory_mb) = (self.drain_grace_ms * 1000, self.purge_grace_ms * 1000, self.memory_mb);
         let text = format!(
             "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"seed\":\"8c1f30d27a5be964\",\
@@ -360,7 +359,7 @@
              \"flow_bytes_per_s\":310000,\"link_bytes_per_s\":1240000,\
              \"known\":{{\"seq\":1,\"results\":[{{\"seq\":1,\"fleet\":{{\"revision\":1,\"complete\":true,\
              \"members\":[{members}]}}}}]}},\
-             \"settings\":{{\"family\":\"edge\",\"zone\":0,\"zones\":[\"central\"],\
+             \"settings\":{{\"family\":\"edge\",\"zone\":{zone},\"zones\":[{zones}],\
              \"flavors\":[\"standard\",\"parent\",\"origin\"],\"balancers\":3,\"weights\":\"off\",\
              \"registry_mode\":\"pushed\",\"request_classes\":[{classes}],\
              \"limits\":{{\"cancelling\":true,\"conn_idle\":30000000,\"connect_timeout\":400000,\
@@ -368,12 +367,45 @@
              \"open_cap\":4096}},\
              \"rules\":{{\"cold_share\":0.15,\"warm_within\":17000000,\"drain_grace\":{drain},\
              \"overload_factor\":2.5,\"overload_for\":1500000}},\
-             \"family_info\":{{\"bypass_allowed\":true,\"class_fresh\":[{zeros}],\"older_by\":[{zeros}],\
+             \"family_info\":{{\"bypass_allowed\":{bypass},\"class_fresh\":[{zeros}],\"older_by\":[{zeros}],\
              \"worth_when_old\":[{zeros}],\"goes_through\":[{through}],\"gone_everywhere\":6000000,\
-             \"heed_within\":{purge},\"instances_by_zone\":[3],\"note_level\":\"all\",\"root_kind\":2,\
+             \"heed_within\":{purge},\"instances_by_zone\":[{instances}],\"note_level\":\"all\",\"root_kind\":2,\
              \"second_tier_kind\":1,\"parent_floor\":0.077,\"parent_warms_in\":20000000,\
              \"parent_breaks_at\":2.0,\"client_kb_per_s\":9100.0,\"lateral\":\"any\",\"collapses\":true}}}}}}"
         );
         std::fs::write(path, text).unwrap_or_else(|error| cannot_run(error));
     }
 }
+
+fn text(out: &mut Vec<u8>, text: &[u8]) {
+    out.extend((text.len() as u32).to_be_bytes());
+    out.extend(text);
+}
+
+/// A frame with a call.
+pub fn call(sequence: u32, fields: &[(&str, String)], body: &[u8]) -> Vec<u8> {
+    let mut out = vec![0x80, 1, 0, 1];
+    text(&mut out, b"call");
+    out.extend(sequence.to_be_bytes());
+    out.extend([13, 0, 1, 11, 11]);
+    out.extend((fields.len() as u32).to_be_bytes());
+    for (name, value) in fields {
+        text(&mut out, name.as_bytes());
+        text(&mut out, value.as_bytes());
+    }
+    out.extend([11, 0, 2]);
+    text(&mut out, body);
+    out.push(0);
+    let mut frame = (out.len() as u32).to_be_bytes().to_vec();
+    frame.extend(out);
+    frame
+}
+
+/// Reads a frame of the router.
+pub fn answer(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length)?;
+    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+    stream.read_exact(&mut frame)?;
+    Ok(frame)
+}
--- a/review/common-2/memory.rs
+++ b/review/common-2/memory.rs
@@ -45,30 +45,6 @@
     address
 }
 
-fn text(out: &mut Vec<u8>, text: &[u8]) {
-    out.extend((text.len() as u32).to_be_bytes());
-    out.extend(text);
-}
-
-/// A frame with a call.
-fn call(sequence: u32, fields: &[(&str, String)], body: &[u8]) -> Vec<u8> {
-    let mut out = vec![0x80, 1, 0, 1];
-    text(&mut out, b"call");
-    out.extend(sequence.to_be_bytes());
-    out.extend([13, 0, 1, 11, 11]);
-    out.extend((fields.len() as u32).to_be_bytes());
-    for (name, value) in fields {
-        text(&mut out, name.as_bytes());
-        text(&mut out, value.as_bytes());
-    }
-    out.extend([11, 0, 2]);
-    text(&mut out, body);
-    out.push(0);
-    let mut frame = (out.len() as u32).to_be_bytes().to_vec();
-    frame.extend(out);
-    frame
-}
-
 fn fields(trace: u64) -> Vec<(&'static str, String)> {
     vec![
         ("route", "lesson-assets".into()),
@@ -80,15 +56,6 @@
     ]
 }
 
-/// Reads a frame of the router.
-fn answer(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
-    let mut length = [0; 4];
-    stream.read_exact(&mut length)?;
-    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
-    stream.read_exact(&mut frame)?;
-    Ok(frame)
-}
-
 /// Counts of the usual clients.
 #[derive(Default)]
 struct Counts {
@@ -186,10 +153,10 @@
         listen,
         change_stream: stream.address,
         members: vec![
-            member("s-1", server(), "standard", "active", 0),
-            member("s-2", server(), "standard", "active", 0),
-            member("s-parent", server(), "parent", "active", 0),
-            member("s-origin", server(), "origin", "active", 0),
+            member("s-1", server(), "standard", "central"),
+            member("s-2", server(), "standard", "central"),
+            member("s-parent", server(), "parent", "central"),
+            member("s-origin", server(), "origin", "central"),
         ],
         classes: vec![Class {
             name: "lesson-assets",
@@ -199,6 +166,9 @@
             window_ms: 0,
             goes_through: false,
         }],
+        zones: vec!["central".into()],
+        zone: 0,
+        bypass: true,
         memory_mb: MEMORY_MB,
         drain_grace_ms: 2000,
         purge_grace_ms: 500,
