Review: calls withdrawn in one burst cost a proxy's other calls their answer

Change: case 8 with its stand-in, a small gRPC client. 200 calls that are begun and reset in one breath make the router end the proxy's connection; eight other calls on it get no reply.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 . "$(dirname "$0")/../common-2/run.sh"
-run wrong_site
+run withdrawn
