--- a/review/common-2/withdrawn.rs
+++ b/review/8/case.rs
@@ -4,9 +4,9 @@
 //! of it ask and leave at once, so the proxy begins 200 calls and resets them. Then the cache answers, and the
 //! proxy reports each answer on its stream, as the page on the front for proxies says.
 
-#[path = "h2.rs"]
+#[path = "../8/h2.rs"]
 mod h2;
-#[path = "lib.rs"]
+#[path = "../6/lib.rs"]
 mod lib;
 
 use h2::*;
