--- a/crates/extproc/src/frames.rs
+++ b/crates/extproc/src/frames.rs
@@ -21,6 +21,12 @@
     Unreadable,
 }
 
+/// Returns the size of the first message in `read` with its prefix. `None` if the prefix is incomplete.
+pub fn message_bytes(read: &[u8]) -> Option<usize> {
+    let [_, length @ ..] = *read.first_chunk::<PREFIX_BYTES>()?;
+    Some(PREFIX_BYTES + u32::from_be_bytes(length) as usize)
+}
+
 /// Removes the first message from the front of `read` and returns it. `None` if the message is still
 /// incomplete.
 ///
--- a/crates/router/src/configuration/limits.rs
+++ b/crates/router/src/configuration/limits.rs
@@ -26,6 +26,17 @@
 const MAX_PEER_CONNECTIONS: usize = 96;
 /// The maximum number of operators' commands at a time.
 const OPERATOR_CONNECTIONS: usize = 4;
+/// One in this many bytes of the memory is for complete messages, calls and answers.
+const COMPLETE_MESSAGES_DIVISOR: usize = 2;
+/// One in this many bytes of the memory is for messages that are still incomplete.
+const INCOMPLETE_MESSAGES_DIVISOR: usize = 8;
+/// One in this many bytes of the memory is for rejections and health replies that wait to be written.
+const UNWRITTEN_REPLIES_DIVISOR: usize = 32;
+/// What a rejection or health reply occupies until it is written, in bytes.
+const REPLY_BYTES: usize = 256;
+/// The bounds of the number of unwritten replies of one client connection.
+const MIN_UNWRITTEN_REPLIES: usize = 8;
+const MAX_UNWRITTEN_REPLIES: usize = 128;
 /// The time from the first byte of a frame or request head to its last byte.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(2);
 /// The time for a client or proxy to accept all bytes of a reply.
@@ -74,8 +85,8 @@
 pub struct Limits {
     /// The maximum number of requests in flight, over all listeners.
     pub max_open_requests: usize,
-    /// The maximum total size of all buffered frames and bodies, in bytes.
-    pub max_buffered_bytes: usize,
+    /// The memory that untrusted peers may occupy.
+    pub memory: MemoryLimits,
     /// The time between two checks of a condition that has no event to wait for.
     pub poll_interval: Duration,
     /// How long startup waits for another process to release the listen address.
@@ -100,6 +111,21 @@
     pub peer: PeerLimits,
 }
 
+/// The memory that untrusted peers may occupy, on all listeners together.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryLimits {
+    /// The maximum total size of complete messages, calls and answers, in bytes.
+    pub max_complete_bytes: usize,
+    /// The maximum total size of messages that are still incomplete, in bytes.
+    pub max_incoming_bytes: usize,
+    /// What one open call occupies beside its message, in bytes.
+    pub call_bytes: usize,
+    /// What one open stream of a proxy occupies beside its messages, in bytes.
+    pub stream_bytes: usize,
+    /// The size of the read buffer that all connections share, in bytes.
+    pub read_chunk_bytes: usize,
+}
+
 /// Limits of the connections of one listener.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
@@ -136,15 +162,15 @@
     pub max_unwritten_replies: usize,
     /// The maximum size of a frame, without its length prefix, in bytes.
     pub max_frame_bytes: usize,
-    /// The size up to which a frame is copied, in bytes, so that a request does not keep the whole read
-    /// buffer in memory.
+    /// The size up to which a frame is copied, in bytes, so that a request does not keep the frames in memory that
+    /// arrived together with it.
     pub max_copied_frame_bytes: usize,
     /// The maximum size of a text field of a call, in bytes.
     pub max_field_bytes: usize,
     /// The maximum size of the body of a call, in bytes.
     pub max_body_bytes: usize,
-    /// The buffer size of a single read, in bytes.
-    pub read_chunk_bytes: usize,
+    /// The buffer size of a single read of bytes that are discarded, in bytes.
+    pub discard_chunk_bytes: usize,
     /// The size of the socket's send buffer, in bytes: how much the system may buffer for a client that reads
     /// slowly.
     pub send_buffer_bytes: usize,
@@ -267,12 +293,12 @@
         let final_write_timeout = Duration::from_millis(200);
         Self {
             max_open_requests: inputs.max_open_requests,
-            max_buffered_bytes: memory / 2,
+            memory: MemoryLimits::new(memory),
             poll_interval: Duration::from_millis(10),
             bind_timeout: Duration::from_secs(8),
             no_lease_retry_after: Duration::from_millis(400),
             report_interval: Duration::from_secs(10),
-            client: ClientLimits::new(client_connections, max_request_timeout, final_write_timeout),
+            client: ClientLimits::new(memory, client_connections, max_request_timeout, final_write_timeout),
             upstream: UpstreamLimits::new(&inputs, client_connections),
             watch: WatchLimits::new(),
             shutdown: ShutdownLimits {
@@ -318,6 +344,18 @@
     }
 }
 
+impl MemoryLimits {
+    fn new(memory: usize) -> Self {
+        Self {
+            max_complete_bytes: memory / COMPLETE_MESSAGES_DIVISOR,
+            max_incoming_bytes: memory / INCOMPLETE_MESSAGES_DIVISOR,
+            call_bytes: 4 << 10,
+            stream_bytes: 6 << 10,
+            read_chunk_bytes: READ_CHUNK_BYTES,
+        }
+    }
+}
+
 impl ConnectionLimits {
     fn new(max_connections: usize, reserved_connections: usize) -> Self {
         Self {
@@ -334,16 +372,23 @@
 }
 
 impl ClientLimits {
-    fn new(max_connections: usize, max_request_timeout: Duration, final_write_timeout: Duration) -> Self {
+    fn new(
+        memory: usize,
+        max_connections: usize,
+        max_request_timeout: Duration,
+        final_write_timeout: Duration,
+    ) -> Self {
+        let replies_bytes = memory / UNWRITTEN_REPLIES_DIVISOR / max_connections.max(1);
         Self {
             connections: ConnectionLimits::new(max_connections, max_connections / CLIENT_RESERVE_DIVISOR),
             max_open_calls: 32,
-            max_unwritten_replies: 128,
+            max_unwritten_replies: (replies_bytes / REPLY_BYTES)
+                .clamp(MIN_UNWRITTEN_REPLIES, MAX_UNWRITTEN_REPLIES),
             max_frame_bytes: 64 << 10,
-            max_copied_frame_bytes: 4 << 10,
+            max_copied_frame_bytes: READ_CHUNK_BYTES,
             max_field_bytes: 128,
             max_body_bytes: 48_000,
-            read_chunk_bytes: READ_CHUNK_BYTES,
+            discard_chunk_bytes: INITIAL_READ_BYTES,
             send_buffer_bytes: 256 << 10,
             frame_timeout: FRAME_TIMEOUT,
             max_request_timeout,
--- a/crates/router/src/connections/mod.rs
+++ b/crates/router/src/connections/mod.rs
@@ -2,6 +2,7 @@
 //! ones, refuses a connection for which no room can be made, and counts what happens.
 
 mod acceptor;
+pub mod listener_names;
 mod managed;
 mod metrics;
 mod registry;
--- a/crates/router/src/downstream/connection.rs
+++ b/crates/router/src/downstream/connection.rs
@@ -15,7 +15,7 @@
 use tindoor_thrift::Reply;
 
 use crate::connections::{ConnectionState, ManagedConnection, Phase};
-use crate::upstream::MemoryReservation;
+use crate::memory::MemoryReservation;
 
 /// The number of executor turns that the reader needs to process what has arrived: one to wake, one to read,
 /// one to dispatch.
@@ -164,10 +164,15 @@
         .await
     }
 
+    /// Returns whether fewer than `max_unwritten` replies are queued.
+    pub fn has_reply_capacity(&self, max_unwritten: usize) -> bool {
+        self.replies.borrow().len() < max_unwritten
+    }
+
     /// Waits until fewer than `max_unwritten` replies are queued.
     pub async fn wait_for_reply_capacity(&self, max_unwritten: usize) {
         future::poll_fn(|context| {
-            if self.replies.borrow().len() < max_unwritten {
+            if self.has_reply_capacity(max_unwritten) {
                 return Poll::Ready(());
             }
             self.reader_waker.set(Some(context.waker().clone()));
--- a/crates/router/src/downstream/request.rs
+++ b/crates/router/src/downstream/request.rs
@@ -17,8 +17,9 @@
 
 use super::connection::Connection;
 use super::request_fields::{InvalidField, REQUEST_ID, RequestFields, read_fields};
+use crate::memory::MemoryReservation;
 use crate::state::RouterState;
-use crate::upstream::{AttemptResult, MemoryReservation, PendingRequest, RoutingSnapshot};
+use crate::upstream::{AttemptResult, PendingRequest, RoutingSnapshot};
 
 /// A call as received; its texts are slices of the frame.
 pub struct Call {
@@ -30,7 +31,7 @@
     pub body: Bytes,
     /// When the last byte of its frame was read.
     pub arrived: Instant,
-    /// The reservation for the memory of the frame.
+    /// The reservation for the memory of the call and its frame.
     pub _memory: MemoryReservation,
 }
 
@@ -78,7 +79,7 @@
     /// Runs one attempt within its time limits.
     async fn run_attempt(&self, attempt: Attempt) -> AttemptResult {
         let request = AttemptRequest::new(self, attempt);
-        let exchange = self.state.endpoints.exchange(attempt.endpoint, &request, &self.state.memory);
+        let exchange = self.state.endpoints.exchange(attempt.endpoint, &request, &self.state.memory.complete);
         let time_limit = async {
             let status = request.time_limit_reached().await;
             AttemptResult::without_response(status)
--- a/crates/router/src/downstream/session.rs
+++ b/crates/router/src/downstream/session.rs
@@ -62,34 +62,27 @@
     }
     half_close(connection);
     tracing::debug!(open = connection.open_call_count(), "client connection closed");
-    let discard = discard_until_closed(&connection.state, &connection.stream, limits.read_chunk_bytes);
+    let discard = discard_until_closed(&connection.state, &connection.stream, limits.discard_chunk_bytes);
     let _ = with_timeout(limits.connections.linger_timeout, discard).await;
 }
 
 /// Reads and dispatches messages until the client or the router closes the connection.
 async fn read_calls(state: &Rc<RouterState>, connection: &Rc<Connection>) -> Result<(), FrameError> {
     let limits = state.limits.client;
-    let mut frames = FrameReader::new(connection, limits);
+    let mut frames = FrameReader::new(connection, &state.memory, limits);
     while let Some(frame) = frames.next_frame().await? {
         connection.state.record_message(frame.arrived);
-        dispatch(state, connection, frame, &limits)?;
+        dispatch(state, connection, frame)?;
         // Rejections and health replies reserve no memory, so backpressure here bounds their number.
-        connection.wait_for_reply_capacity(limits.max_unwritten_replies).await;
+        frames.wait_for_reply_capacity().await?;
     }
     Ok(())
 }
 
 /// Handles one message. An error closes the connection.
-fn dispatch(
-    state: &Rc<RouterState>,
-    connection: &Rc<Connection>,
-    frame: Frame,
-    limits: &ClientLimits,
-) -> Result<(), FrameError> {
+fn dispatch(state: &Rc<RouterState>, connection: &Rc<Connection>, frame: Frame) -> Result<(), FrameError> {
     let Frame { bytes, arrived } = frame;
     let frame_size = bytes.len();
-    let is_copied = frame_size <= limits.max_copied_frame_bytes;
-    let bytes = if is_copied { Bytes::copy_from_slice(&bytes) } else { bytes };
     match tindoor_thrift::parse(bytes) {
         Ok(Message::Health { sequence_id }) => {
             let health = Answer { good: state.is_healthy(), ..Answer::default() };
@@ -134,7 +127,8 @@
     }
     let has_capacity = state.engine.has_capacity(state.limits.max_open_requests)
         && connection.open_call_count() < state.limits.client.max_open_calls;
-    let Some(memory) = state.memory.reserve(frame_size).filter(|_| has_capacity) else {
+    let call_bytes = state.limits.memory.call_bytes + frame_size;
+    let Some(memory) = state.memory.complete.reserve(call_bytes).filter(|_| has_capacity) else {
         if let Some(times) = state.overload_log.record() {
             let requests = state.engine.open_requests();
             tracing::warn!(requests, times, "call rejected: no capacity");
--- a/crates/router/src/external/connection.rs
+++ b/crates/router/src/external/connection.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::future;
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -39,6 +39,10 @@
     state: ConnectionState,
     close_method: CloseMethod,
     open_calls: Cell<usize>,
+    /// Whether the first message of a call has ever arrived completely.
+    has_begun_call: Cell<bool>,
+    /// Whether the HTTP/2 library has read since other tasks last ran.
+    has_read_in_turn: Cell<bool>,
     /// Whether an announced close is completed as soon as no call is open, without waiting for the proxy.
     is_finish_requested: Cell<bool>,
 }
@@ -53,10 +57,37 @@
             state: ConnectionState::default(),
             close_method,
             open_calls: Cell::new(0),
+            has_begun_call: Cell::new(false),
+            has_read_in_turn: Cell::new(false),
             is_finish_requested: Cell::new(false),
         }))
     }
 
+    /// Returns the address of the proxy.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.stream.get_ref().peer_addr().ok()
+    }
+
+    /// Records that the first message of a call has arrived completely.
+    pub fn record_call(&self) {
+        self.has_begun_call.set(true);
+    }
+
+    /// Returns whether the first message of a call has ever arrived completely.
+    pub fn has_begun_call(&self) -> bool {
+        self.has_begun_call.get()
+    }
+
+    /// Records that other tasks have run, so that the connection may be read again.
+    pub fn begin_read_turn(&self) {
+        self.has_read_in_turn.set(false);
+    }
+
+    /// Records a read. Returns false if other tasks must run first.
+    pub fn may_read_in_turn(&self) -> bool {
+        !self.has_read_in_turn.replace(true)
+    }
+
     /// Counts a call as open until the returned value is dropped.
     pub fn begin_call(self: &Rc<Self>) -> OpenCall {
         self.open_calls.set(self.open_calls.get() + 1);
--- a/crates/router/src/external/grpc/connection.rs
+++ b/crates/router/src/external/grpc/connection.rs
@@ -19,8 +19,9 @@
 
 use super::serve_stream;
 use crate::configuration::limits::ProxyLimits;
-use crate::connections::{ManagedConnection, Phase};
+use crate::connections::{ManagedConnection, Phase, listener_names};
 use crate::external::connection::ProxyConnection;
+use crate::memory::{IncomingMessage, Sender, Standing};
 use crate::state::RouterState;
 use crate::timeout::with_timeout;
 
@@ -29,6 +30,7 @@
 /// An empty HTTP/2 SETTINGS frame, with which a server's side of a connection begins.
 const SETTINGS: [u8; 9] = [0, 0, 0, 4, 0, 0, 0, 0, 0];
 
+type AcceptedStream = (Request<RecvStream>, SendResponse<Bytes>);
 type Http2 = server::Connection<Compat<ProxySocket>, Bytes>;
 
 /// Returns what is sent on a connection that is refused: no stream was processed, and each may be retried on
@@ -56,7 +58,11 @@
 async fn handshake(limits: &ProxyLimits, proxy: &Rc<ProxyConnection>) -> io::Result<Option<Http2>> {
     let builder = connection_builder(limits);
     let socket = ProxySocket(Rc::clone(proxy)).compat();
-    let handshake = async { builder.handshake(socket).await.map(Some).map_err(io::Error::other) };
+    let mut handshake = builder.handshake(socket);
+    let handshake = future::poll_fn(|context| {
+        proxy.begin_read_turn();
+        Pin::new(&mut handshake).poll(context).map(|http2| http2.map(Some).map_err(io::Error::other))
+    });
     let closed = async {
         proxy.finish_due().await;
         Ok(None)
@@ -91,19 +97,13 @@
     proxy.state().record_message(Instant::now());
     // One timer for the whole connection, as creating a timer costs a system call.
     let timer = Timer::after(limits.idle_timeout);
-    let mut connection = Http2Connection { proxy, http2, timer, is_close_announced: false };
+    let mut connection =
+        Http2Connection { proxy, http2, timer, is_close_announced: false, is_turn_over: true };
     loop {
         match connection.next_event().await? {
             Event::Stream(stream) => {
-                let (request, respond) = *stream;
                 proxy.state().record_message(Instant::now());
-                let (call, router) = (proxy.begin_call(), Rc::clone(router));
-                let (names, executor) = (Rc::clone(names), Rc::clone(&router.executor));
-                let task = async move {
-                    serve_stream(&router, request, respond, &names).await;
-                    drop(call);
-                };
-                executor.spawn(task).detach();
+                begin_stream(router, proxy, names, *stream);
             }
             Event::CloseRequested => connection.announce_close(limits),
             Event::TimerFired => connection.timer_fired(limits),
@@ -115,6 +115,28 @@
     }
 }
 
+/// Serves a stream that was accepted. Refuses it if there is no memory for it: it is not run, and may be sent again.
+fn begin_stream(
+    router: &Rc<RouterState>,
+    proxy: &Rc<ProxyConnection>,
+    names: &Rc<HeaderNames>,
+    (request, mut respond): AcceptedStream,
+) {
+    let sender = Sender { listener: listener_names::EXTERNAL_PROCESSING, address: proxy.peer_address() };
+    let mut received = IncomingMessage::new(&router.memory.incoming, sender);
+    received.set_task_bytes(router.limits.memory.stream_bytes);
+    if received.hold(Standing::of(proxy.has_begun_call())).is_err() {
+        return respond.send_reset(Reason::REFUSED_STREAM);
+    }
+    let (proxy, call, router) = (Rc::clone(proxy), proxy.begin_call(), Rc::clone(router));
+    let (names, executor) = (Rc::clone(names), Rc::clone(&router.executor));
+    let task = async move {
+        serve_stream(&router, &proxy, request, respond, received, &names).await;
+        drop(call);
+    };
+    executor.spawn(task).detach();
+}
+
 /// One connection after the handshake.
 struct Http2Connection<'a> {
     proxy: &'a ProxyConnection,
@@ -123,10 +145,12 @@
     /// proxy has not confirmed it in time.
     timer: Timer,
     is_close_announced: bool,
+    /// Whether other tasks run before the next event. What one read has brought is handled before the next read.
+    is_turn_over: bool,
 }
 
 enum Event {
-    Stream(Box<(Request<RecvStream>, SendResponse<Bytes>)>),
+    Stream(Box<AcceptedStream>),
     /// The connection is to be closed.
     CloseRequested,
     /// The announced close is to be completed, and no stream is open.
@@ -137,7 +161,15 @@
 
 impl Http2Connection<'_> {
     async fn next_event(&mut self) -> io::Result<Event> {
-        future::poll_fn(|context| self.poll_event(context)).await
+        future::poll_fn(|context| {
+            if self.is_turn_over {
+                self.proxy.begin_read_turn();
+            }
+            let event = self.poll_event(context);
+            self.is_turn_over = event.is_pending();
+            event
+        })
+        .await
     }
 
     fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<io::Result<Event>> {
@@ -186,7 +218,12 @@
     /// not run, and the proxy knows that from the frame.
     async fn finish(mut self) -> io::Result<()> {
         self.http2.abrupt_shutdown(Reason::NO_ERROR);
-        future::poll_fn(|context| self.http2.poll_closed(context)).await.map_err(io::Error::other)
+        future::poll_fn(|context| {
+            self.proxy.begin_read_turn();
+            self.http2.poll_closed(context)
+        })
+        .await
+        .map_err(io::Error::other)
     }
 }
 
@@ -205,6 +242,11 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if !self.0.may_read_in_turn() {
+            // The library would read for as long as there are bytes, and keep the streams in them in its queue.
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         self.0.state().set_unread_bytes(false);
         Pin::new(&mut self.stream()).poll_read(context, buffer)
     }
--- a/crates/router/src/external/grpc/exchange.rs
+++ b/crates/router/src/external/grpc/exchange.rs
@@ -25,21 +25,38 @@
     names: &HeaderNames,
 ) -> Result<(), StreamEnd> {
     let Some(headers) = request_headers(router, stream).await? else { return Ok(()) };
-    let request = match read_request(router, &headers_of(&headers), names) {
-        Ok(request) => request,
+    let request = read_request(router, &headers_of(&headers), names);
+    // Its many short fields take far more memory than the message.
+    drop(headers);
+    match request {
+        Ok(request) => serve_request(router, stream, &request).await?,
         Err(error) => {
             tracing::debug!(%error, "invalid request from an external proxy; answered with status 400");
             stream.send(&response::immediate(bad_request(error.to_string()))).await?;
-            return drain(router, stream).await;
         }
+    }
+    stream.end_call();
+    drain(router, stream).await
+}
+
+/// Serves a request that was read, up to the final answer.
+async fn serve_request(
+    router: &Rc<RouterState>,
+    stream: &mut MessageStream<'_>,
+    request: &CheckedRequest,
+) -> Result<(), StreamEnd> {
+    let Some(_memory) = stream.begin_call(router) else {
+        let rejected = CallReply::Rejected(router.engine.retry_after(), RefusalReason::NoCapacity);
+        let refusal = final_response_to_request(&rejected, request.refusal_reason.as_deref());
+        return stream.send(&response::immediate(refusal)).await;
     };
     let call = router.external.open_call();
     router.external.call_received(&call, request.request);
-    if let Some(decision) = send_decision(router, stream, &call, &request).await? {
+    if let Some(decision) = send_decision(router, stream, &call, request).await? {
         receive_report(router, stream, &call, &decision).await?;
-        reply_to_report(router, stream, &call, &request).await?;
+        reply_to_report(router, stream, &call, request).await?;
     }
-    drain(router, stream).await
+    Ok(())
 }
 
 /// Returns the first message, which must be the request's headers. `None` if the proxy closed its side
@@ -191,7 +208,9 @@
 async fn drain(router: &RouterState, stream: &mut MessageStream<'_>) -> Result<(), StreamEnd> {
     let drained = async { Ok(pass_remaining(stream).await) };
     let left_open = Err(StreamEnd::timed_out("the stream was left open"));
-    with_timeout(router.limits.proxy.max_request_timeout, drained).await.unwrap_or(left_open)
+    let end = with_timeout(router.limits.proxy.max_request_timeout, drained).await.unwrap_or(left_open);
+    // The call has its final answer.
+    if stream.is_evicted() { Ok(()) } else { end }
 }
 
 async fn pass_remaining(stream: &mut MessageStream<'_>) -> Result<(), StreamEnd> {
--- a/crates/router/src/external/grpc/mod.rs
+++ b/crates/router/src/external/grpc/mod.rs
@@ -16,6 +16,7 @@
 
 use super::connection::{CloseMethod, ProxyConnection, log_end, refuse};
 use crate::connections::{ConnectionHandler, ManagedConnection};
+use crate::memory::IncomingMessage;
 use crate::state::RouterState;
 use stream::{GrpcStatus, MessageStream, StreamEnd};
 
@@ -58,8 +59,10 @@
 /// Serves one call of the service: replies to its messages, and sends the gRPC status at the end.
 async fn serve_stream(
     router: &Rc<RouterState>,
+    proxy: &ProxyConnection,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
+    received: IncomingMessage,
     names: &HeaderNames,
 ) {
     if let Some(refusal) = refusal_of(&request) {
@@ -67,7 +70,7 @@
         return;
     }
     let Ok(sender) = respond.send_response(grpc_response(None), false) else { return };
-    let mut stream = MessageStream::new(router, sender, request.into_body());
+    let mut stream = MessageStream::new(router, proxy, sender, request.into_body(), received);
     let status = match exchange::serve(router, &mut stream, names).await {
         Ok(()) => GrpcStatus::OK,
         Err(StreamEnd::Status(status)) => status,
--- a/crates/router/src/external/grpc/stream.rs
+++ b/crates/router/src/external/grpc/stream.rs
@@ -3,13 +3,16 @@
 use std::future;
 use std::io;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use futures_lite::future::or;
 use h2::{Reason, RecvStream, SendStream};
 use http::HeaderMap;
 use tindoor_extproc::frames::{self, FrameError};
 use tindoor_extproc::messages::{Phase, ProcessingRequest, ProcessingResponse};
 
-use crate::configuration::limits::ProxyLimits;
+use crate::configuration::limits::{MemoryLimits, ProxyLimits};
+use crate::external::connection::ProxyConnection;
+use crate::memory::{Evicted, IncomingMessage, MemoryReservation, Standing};
 use crate::state::RouterState;
 use crate::timeout::with_timeout;
 
@@ -77,30 +80,76 @@
     }
 }
 
+impl From<Evicted> for StreamEnd {
+    fn from(_: Evicted) -> Self {
+        Self::status(GrpcStatus::RESOURCE_EXHAUSTED, "no memory for an incomplete message")
+    }
+}
+
 /// The two directions of one stream.
 pub struct MessageStream<'a> {
     limits: &'a ProxyLimits,
+    memory_limits: &'a MemoryLimits,
+    proxy: &'a ProxyConnection,
     sender: SendStream<Bytes>,
     receiver: RecvStream,
-    received: BytesMut,
+    received: IncomingMessage,
 }
 
 impl<'a> MessageStream<'a> {
-    pub fn new(router: &'a RouterState, sender: SendStream<Bytes>, receiver: RecvStream) -> Self {
-        Self { limits: &router.limits.proxy, sender, receiver, received: BytesMut::new() }
+    /// Creates a stream; `received` is charged for a stream on which no message has arrived.
+    pub fn new(
+        router: &'a RouterState,
+        proxy: &'a ProxyConnection,
+        sender: SendStream<Bytes>,
+        receiver: RecvStream,
+        received: IncomingMessage,
+    ) -> Self {
+        Self {
+            limits: &router.limits.proxy,
+            memory_limits: &router.limits.memory,
+            proxy,
+            sender,
+            receiver,
+            received,
+        }
+    }
+
+    /// Moves the charge of the stream to the budget of complete messages, as its call has begun. `None` if that
+    /// budget is used up.
+    pub fn begin_call(&mut self, router: &RouterState) -> Option<MemoryReservation> {
+        let memory = router.memory.complete.reserve(self.memory_limits.stream_bytes)?;
+        self.proxy.record_call();
+        self.received.set_task_bytes(0);
+        Some(memory)
+    }
+
+    /// Charges the stream as one on which nothing has to arrive any more: its call has its final answer, and it may
+    /// be ended at any time.
+    pub fn end_call(&mut self) {
+        self.received.complete();
+        self.received.set_task_bytes(self.memory_limits.stream_bytes);
     }
 
     /// Returns the next phase, or `None` once the proxy has closed its side. Cancel safe: no data is lost if
     /// the future is dropped before it completes.
     pub async fn next(&mut self) -> Result<Option<Phase>, StreamEnd> {
         loop {
-            if let Some(message) = frames::decode(&mut self.received, self.limits.max_message_bytes)? {
+            let decoded = frames::decode(&mut self.received.buffer(), self.limits.max_message_bytes)?;
+            if let Some(message) = decoded {
+                self.received.complete();
                 return phase_of(message).map(Some);
             }
-            match self.receiver.data().await {
+            self.received.hold(Standing::of(self.proxy.has_begun_call()))?;
+            let (receiver, received) = (&mut self.receiver, &self.received);
+            let data = async { Ok(receiver.data().await) };
+            let evicted = async { Err(received.evicted().await) };
+            match or(data, evicted).await? {
                 Some(Ok(data)) => {
                     let _ = self.receiver.flow_control().release_capacity(data.len());
-                    self.received.extend_from_slice(&data);
+                    let message_bytes = frames::message_bytes(&self.received.buffer());
+                    let is_valid = |bytes: &usize| *bytes <= self.limits.max_message_bytes;
+                    self.received.append(&data, message_bytes.filter(is_valid));
                 }
                 Some(Err(_)) => return Err(StreamEnd::Gone),
                 None if self.received.is_empty() => return Ok(None),
@@ -109,6 +158,11 @@
         }
     }
 
+    /// Returns whether the stream was ended to free memory.
+    pub fn is_evicted(&self) -> bool {
+        self.received.is_evicted()
+    }
+
     /// Sends a message once the proxy's window has capacity for it.
     pub async fn send(&mut self, message: &ProcessingResponse) -> Result<(), StreamEnd> {
         let bytes = frames::encode(message);
--- a/crates/router/src/external/http/mod.rs
+++ b/crates/router/src/external/http/mod.rs
@@ -10,7 +10,8 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use bytes::Buf;
+use futures_lite::{AsyncWriteExt, future};
 use tindoor_external_requests::{CallId, CallReply, RefusalReason};
 use tindoor_extproc::request::{HeaderNames, Headers, read_report};
 use tindoor_extproc::response::{self, FinalResponse, HeaderField};
@@ -19,7 +20,8 @@
 use super::connection::{CloseMethod, ProxyConnection, log_end, refuse};
 use super::request::{CheckedRequest, bad_request, final_response, final_response_to_request, read_request};
 use super::target;
-use crate::connections::{ConnectionHandler, ManagedConnection, Phase};
+use crate::connections::{ConnectionHandler, ManagedConnection, Phase, listener_names};
+use crate::memory::{IncomingMessage, Sender, Standing, out_of_memory, receive_some};
 use crate::state::RouterState;
 use crate::timeout::with_timeout;
 use head::{RequestHead, invalid, parse_head};
@@ -70,7 +72,7 @@
     router: Rc<RouterState>,
     names: Rc<HeaderNames>,
     proxy: Rc<ProxyConnection>,
-    received: Vec<u8>,
+    received: IncomingMessage,
     /// When the first byte of an incomplete request was read. `None` while nothing of a request has arrived.
     incomplete_since: Option<Instant>,
 }
@@ -82,8 +84,10 @@
     proxy: Rc<ProxyConnection>,
 ) -> io::Result<()> {
     let limits = router.limits.proxy;
-    let (received, incomplete_since) = (Vec::new(), None);
-    let mut connection = Connection { router, names, proxy: Rc::clone(&proxy), received, incomplete_since };
+    let sender = Sender { listener: listener_names::CALL, address: proxy.peer_address() };
+    let received = IncomingMessage::new(&router.memory.incoming, sender);
+    let (served, incomplete_since) = (Rc::clone(&proxy), None);
+    let mut connection = Connection { router, names, proxy: served, received, incomplete_since };
     connection.serve_requests().await?;
     proxy.close(&limits).await;
     Ok(())
@@ -118,11 +122,14 @@
             if state.phase() != Phase::Open {
                 return Ok(None);
             }
-            let parsed = parse_head(&self.received)?;
+            let parsed = parse_head(&self.received.buffer())?;
             if let Some((head, size)) = parsed {
-                self.received.drain(..size);
+                self.received.buffer().advance(size);
+                self.received.complete();
                 state.set_unparsed_bytes(!self.received.is_empty());
                 state.record_message(Instant::now());
+                // What was sent in advance waits while this request is answered.
+                self.received.hold(Standing::Proven).map_err(out_of_memory)?;
                 self.incomplete_since = None;
                 return Ok(Some(head));
             }
@@ -147,16 +154,14 @@
             None => limits.idle_timeout,
         };
         let state = self.proxy.state();
-        let filled = self.received.len();
-        self.received.resize(filled + limits.initial_read_bytes, 0);
-        let mut stream = &self.proxy.stream;
-        let read = stream.read(&mut self.received[filled..]);
+        let standing = Standing::of(state.has_sent_message());
+        let memory = &self.router.memory;
+        let read = receive_some(&self.proxy.stream, &self.received, memory, standing, None);
         let closed = async {
             state.wait_for(Phase::Closing).await;
             Ok(0)
         };
         let received = with_timeout(wait, future::or(read, closed)).await;
-        self.received.truncate(filled + received.as_ref().map_or(0, |received| *received));
         state.set_unread_bytes(false);
         state.set_unparsed_bytes(!self.received.is_empty());
         received
--- a/crates/router/src/fleet/peers.rs
+++ b/crates/router/src/fleet/peers.rs
@@ -12,19 +12,24 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, future};
+use bytes::{Buf, BytesMut};
+use futures_lite::future;
 use socket2::SockRef;
 use tindoor_consensus::Envelope;
 
 use crate::configuration::limits::PeerLimits;
-use crate::connections::{ConnectionHandler, ConnectionState, ManagedConnection, Phase};
+use crate::connections::{ConnectionHandler, ConnectionState, ManagedConnection, Phase, listener_names};
 use crate::log_throttle::LogThrottle;
-use crate::timeout::{read_exact_with_progress, with_timeout, write_all_with_progress};
+use crate::memory::{IncomingMessage, MemoryAccount, Sender, Standing, receive_some};
+use crate::timeout::{with_timeout, write_all_with_progress};
 
 /// The beginning of the first line on each connection, the same in all versions. The names of the fleet and
 /// of the sender follow it.
 const PREFACE: &str = "tindoor-fleet 1";
 
+/// The size of the length before each message, in bytes.
+const LENGTH_BYTES: usize = 4;
+
 /// The time without a message after which an accepted connection is closed, as a multiple of the idle
 /// timeout.
 const ACCEPTED_IDLE_TIMEOUTS: u32 = 2;
@@ -78,6 +83,7 @@
 pub(super) struct Peers {
     executor: Rc<LocalExecutor<'static>>,
     limits: PeerLimits,
+    memory: Rc<MemoryAccount>,
     preface: String,
     queues: RefCell<HashMap<String, Rc<SendQueue>>>,
     sent: Cell<SentTraffic>,
@@ -88,12 +94,14 @@
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         limits: PeerLimits,
+        memory: Rc<MemoryAccount>,
         fleet: &str,
         name: &str,
     ) -> Rc<Self> {
         Rc::new(Self {
             executor,
             limits,
+            memory,
             preface: format!("{PREFACE} {fleet} {name}\n"),
             queues: RefCell::default(),
             sent: Cell::default(),
@@ -216,44 +224,90 @@
 
     /// Reads messages from one connection, and passes each on once it is complete.
     async fn read_messages(&self, connection: &PeerConnection, receive: impl Fn(Envelope)) -> io::Result<()> {
-        let limits = &self.limits;
-        let mut stream = &connection.stream;
-        self.check_preface(&mut stream).await?;
+        let address = connection.stream.get_ref().peer_addr().ok();
+        let sender = Sender { listener: listener_names::FLEET, address };
+        let message = IncomingMessage::new(&self.memory.incoming, sender);
+        let preface = self.read_preface(connection, &message);
+        with_timeout(self.limits.progress_timeout, preface).await?;
         connection.state.record_message(Instant::now());
-        let mut length = [0; 4];
         loop {
             // Yields, so that a peer that sends continuously does not starve the others.
             future::yield_now().await;
-            with_timeout(limits.idle_timeout * ACCEPTED_IDLE_TIMEOUTS, stream.read_exact(&mut length))
-                .await?;
-            let length = u32::from_be_bytes(length) as usize;
-            if length > limits.max_message_bytes {
-                return Err(invalid_data("frame longer than the limit"));
-            }
-            let mut bytes = vec![0; length];
-            read_exact_with_progress(limits.progress_timeout, &mut stream, &mut bytes).await?;
+            let frame = self.read_frame(connection, &message).await?;
             connection.state.record_message(Instant::now());
             receive(
-                Envelope::from_bytes(&bytes)
+                Envelope::from_bytes(&frame)
                     .map_err(|_| invalid_data("frame can't be decoded as a message"))?,
             );
         }
     }
 
+    /// Reads the next message, without its length.
+    async fn read_frame(
+        &self,
+        connection: &PeerConnection,
+        message: &IncomingMessage,
+    ) -> io::Result<BytesMut> {
+        loop {
+            let frame_bytes = self.frame_bytes(&message.buffer())?;
+            if let Some(frame_bytes) = frame_bytes
+                && message.len() >= frame_bytes
+            {
+                let mut frame = message.buffer().split_to(frame_bytes);
+                message.complete();
+                frame.advance(LENGTH_BYTES);
+                return Ok(frame);
+            }
+            let limit = match message.is_empty() {
+                true => self.limits.idle_timeout * ACCEPTED_IDLE_TIMEOUTS,
+                false => self.limits.progress_timeout,
+            };
+            future::yield_now().await;
+            let received = receive_some(
+                &connection.stream,
+                message,
+                &self.memory,
+                Standing::of(connection.state.has_sent_message()),
+                frame_bytes,
+            );
+            if with_timeout(limit, received).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// Returns the size of the frame at the front of `received`, with its length. `None` if the length has not
+    /// arrived.
+    fn frame_bytes(&self, received: &[u8]) -> io::Result<Option<usize>> {
+        let Some(length) = received.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > self.limits.max_message_bytes {
+            return Err(invalid_data("frame longer than the limit"));
+        }
+        Ok(Some(LENGTH_BYTES + length))
+    }
+
     /// Reads the preface, and checks that it has the protocol version and fleet name of this router.
-    async fn check_preface(&self, stream: &mut &Async<TcpStream>) -> io::Result<()> {
-        let mut line = Vec::new();
-        let read = async {
-            let mut byte = [0];
-            while line.last() != Some(&b'\n') && line.len() < self.limits.max_preface_bytes {
-                stream.read_exact(&mut byte).await?;
-                line.extend(byte);
+    async fn read_preface(&self, connection: &PeerConnection, message: &IncomingMessage) -> io::Result<()> {
+        loop {
+            let end = message.buffer().iter().position(|byte| *byte == b'\n');
+            if let Some(end) = end.filter(|end| *end < self.limits.max_preface_bytes) {
+                let line = message.buffer().split_to(end + 1);
+                message.complete();
+                return self.check_preface(&String::from_utf8_lossy(&line));
             }
-            Ok(())
-        };
-        with_timeout(self.limits.progress_timeout, read).await?;
-        let line = String::from_utf8_lossy(&line);
-        if without_sender(&line) == without_sender(&self.preface) {
+            if message.len() >= self.limits.max_preface_bytes {
+                return Err(invalid_data("first line longer than the limit"));
+            }
+            future::yield_now().await;
+            if receive_some(&connection.stream, message, &self.memory, Standing::Unproven, None).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    fn check_preface(&self, line: &str) -> io::Result<()> {
+        if without_sender(line) == without_sender(&self.preface) {
             Ok(())
         } else {
             Err(invalid_data("first line names another fleet or protocol version"))
--- a/crates/router/src/fleet/runtime.rs
+++ b/crates/router/src/fleet/runtime.rs
@@ -26,14 +26,12 @@
 use super::transitions::{log_leadership, log_transition};
 use crate::configuration::FleetConfiguration;
 use crate::configuration::limits::PeerLimits;
-use crate::connections::{Acceptor, ListenerRegistry};
+use crate::connections::{Acceptor, ListenerRegistry, listener_names};
+use crate::memory::MemoryAccount;
 
 /// The exit status of a process whose consensus node panicked.
 const NODE_FAILURE_EXIT_STATUS: i32 = 101;
 
-/// The name of the listener for peers in the log.
-const LISTENER: &str = "fleet";
-
 /// This router as a member of its fleet.
 pub struct Fleet {
     pub(super) node: RefCell<Node>,
@@ -75,6 +73,8 @@
     pub limits: PeerLimits,
     /// All listeners of the router.
     pub listeners: Rc<ListenerRegistry>,
+    /// The account of the memory that untrusted peers occupy.
+    pub memory: Rc<MemoryAccount>,
     /// The maximum number of open requests if the policy does not set one.
     pub open_requests_limit: usize,
     /// Returns the number of requests in flight.
@@ -115,7 +115,7 @@
         let bound = listener.get_ref().local_addr().context("fleet.listen")?;
         let identity = process.identity(configuration, &router, bound);
         let (incarnation, replica_id) = (identity.incarnation, identity.replica_id);
-        tracing::info!(front = LISTENER, at = %bound, %incarnation, replica_id, "listening");
+        tracing::info!(front = listener_names::FLEET, at = %bound, %incarnation, replica_id, "listening");
         let clock = BootClock::start();
         let random_seed = getrandom::u64().context("can't read a random seed from the system")?;
         let config = NodeConfig {
@@ -130,7 +130,8 @@
         };
         let node = Node::start(config, clock.now().0).map_err(|error| anyhow!("fleet: {error}"))?;
         let (limits, listeners) = (router.limits, Rc::clone(&router.listeners));
-        let peers = Peers::new(Rc::clone(executor), limits, &configuration.name, &router.name);
+        let memory = Rc::clone(&router.memory);
+        let peers = Peers::new(Rc::clone(executor), limits, memory, &configuration.name, &router.name);
         let (writes, pending_writes) = async_channel::unbounded();
         let fleet = Rc::new(Self::new(node, clock, checks, peers, writes, router));
         fleet.with_node(|_, _| ());
@@ -182,7 +183,7 @@
         let fleet = Rc::clone(self);
         let receive = move |envelope| fleet.with_node(|node, now| node.receive(now, envelope));
         let handler = PeerHandler { peers: Rc::clone(&self.peers), receive };
-        let table = listeners.add(LISTENER, limits.connections);
+        let table = listeners.add(listener_names::FLEET, limits.connections);
         let acceptor = Acceptor::new(handler, listener, table, listeners, limits.backoff);
         executor.spawn(async move { acceptor.run().await }).detach();
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -8,6 +8,7 @@
 mod external;
 mod fleet;
 mod log_throttle;
+mod memory;
 mod operator;
 mod server;
 mod signed_urls;
--- a/crates/router/src/operator/control_socket.rs
+++ b/crates/router/src/operator/control_socket.rs
@@ -11,7 +11,8 @@
 use anyhow::{Context, Result};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use bytes::BytesMut;
+use futures_lite::{AsyncWriteExt, future};
 use serde_json::{Value, json};
 use socket2::SockRef;
 use tindoor_consensus::Command;
@@ -22,24 +23,36 @@
 use super::control_protocol::{ControlRequest, PolicyChanges};
 use crate::configuration::limits::PeerLimits;
 use crate::connections::{
-    Acceptor, ConnectionHandler, ConnectionState, ListenerRegistry, ManagedConnection, Phase,
+    Acceptor, ConnectionHandler, ConnectionState, ListenerRegistry, ManagedConnection, Phase, listener_names,
 };
 use crate::fleet::{Fleet, FleetStatus};
+use crate::memory::{IncomingMessage, MemoryAccount, Sender, Standing, receive_some};
 use crate::timeout::with_timeout;
 
 /// The file mode of the socket: read and write access for the owner only.
 const OWNER_ONLY: u32 = 0o600;
 
-const READ_BUFFER_BYTES: usize = 4096;
-
 /// The note that the history records for a revert.
 const REVERT_NOTE: &str = "undone by its operator";
 
 /// Serves the connections of operators' commands.
-struct ControlHandler {
+pub struct ControlHandler {
     executor: Rc<LocalExecutor<'static>>,
     fleet: Rc<Fleet>,
     limits: PeerLimits,
+    memory: Rc<MemoryAccount>,
+}
+
+impl ControlHandler {
+    /// Creates a handler.
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        fleet: Rc<Fleet>,
+        limits: PeerLimits,
+        memory: Rc<MemoryAccount>,
+    ) -> Self {
+        Self { executor, fleet, limits, memory }
+    }
 }
 
 /// One connection of a command, which sends one request.
@@ -80,9 +93,10 @@
         let connection =
             Rc::new(ControlConnection { stream: Async::new(stream)?, state: ConnectionState::default() });
         let (fleet, limits, served) = (Rc::clone(&self.fleet), self.limits, Rc::clone(&connection));
+        let memory = Rc::clone(&self.memory);
         let task = async move {
             let closed = served.state.wait_for(Phase::Ended);
-            future::or(serve_connection(&fleet, &served, &limits), closed).await;
+            future::or(serve_connection(&fleet, &served, &limits, &memory), closed).await;
         };
         self.executor.spawn(task).detach();
         Ok(connection)
@@ -98,16 +112,14 @@
 
 /// Accepts connections on the control socket and answers them, for as long as the router runs.
 pub async fn serve(
-    executor: Rc<LocalExecutor<'static>>,
+    handler: ControlHandler,
     listeners: Rc<ListenerRegistry>,
-    fleet: Rc<Fleet>,
     path: PathBuf,
     limits: PeerLimits,
 ) -> Result<Infallible> {
     let listener = Async::new(bind(&path)?)?;
     tracing::info!(path = %path.display(), "control socket listening");
-    let table = listeners.add("operator", limits.operator_connections);
-    let handler = ControlHandler { executor, fleet, limits };
+    let table = listeners.add(listener_names::OPERATOR, limits.operator_connections);
     Ok(Acceptor::new(handler, listener, table, listeners, limits.backoff).run().await)
 }
 
@@ -124,13 +136,15 @@
 }
 
 /// Reads the single request of a connection and writes the answer.
-async fn serve_connection(fleet: &Fleet, connection: &ControlConnection, limits: &PeerLimits) {
-    let mut line = Vec::new();
+async fn serve_connection(
+    fleet: &Fleet,
+    connection: &ControlConnection,
+    limits: &PeerLimits,
+    memory: &MemoryAccount,
+) {
     let mut stream = &connection.stream;
-    let read = read_line(&mut stream, &mut line, limits.max_message_bytes);
-    if with_timeout(limits.progress_timeout, read).await.is_err() {
-        return;
-    }
+    let read = read_line(connection, limits.max_message_bytes, memory);
+    let Ok(line) = with_timeout(limits.progress_timeout, read).await else { return };
     connection.state.record_message(Instant::now());
     let answer = match serde_json::from_slice::<ControlRequest>(&line) {
         Ok(request) => respond(fleet, request).unwrap_or_else(|error| json!({"error": error.to_string()})),
@@ -140,15 +154,22 @@
 }
 
 /// Reads until the end of the line or of the stream, or until `max_bytes` are reached.
-async fn read_line(stream: &mut &Async<UnixStream>, line: &mut Vec<u8>, max_bytes: usize) -> io::Result<()> {
-    let mut buffer = [0; READ_BUFFER_BYTES];
-    while line.last() != Some(&b'\n') && line.len() < max_bytes {
-        match stream.read(&mut buffer).await? {
-            0 => break,
-            size => line.extend(&buffer[..size]),
+async fn read_line(
+    connection: &ControlConnection,
+    max_bytes: usize,
+    memory: &MemoryAccount,
+) -> io::Result<BytesMut> {
+    let sender = Sender { listener: listener_names::OPERATOR, address: None };
+    let line = IncomingMessage::new(&memory.incoming, sender);
+    loop {
+        // A command that arrives in many pieces must not starve other tasks.
+        future::yield_now().await;
+        let received = receive_some(&connection.stream, &line, memory, Standing::Unproven, None).await?;
+        let is_complete = line.buffer().last() == Some(&b'\n');
+        if received == 0 || is_complete || line.len() >= max_bytes {
+            return Ok(line.take());
         }
     }
-    Ok(())
 }
 
 fn respond(fleet: &Fleet, request: ControlRequest) -> Result<Value> {
--- a/crates/router/src/server/mod.rs
+++ b/crates/router/src/server/mod.rs
@@ -13,6 +13,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 
+use crate::connections::listener_names;
 use crate::downstream::ClientHandler;
 use crate::operator::command_line::Files;
 use crate::signed_urls::SignedUrls;
@@ -20,9 +21,6 @@
 use reload::Reloader;
 use shutdown::Shutdown;
 
-/// The name of the listener for clients in the log.
-const CLIENT_LISTENER: &str = "clients";
-
 /// Loads the files and serves until SIGTERM or SIGINT.
 pub fn start(files: Files) -> Result<()> {
     let loaded = load_files(&files)?;
@@ -62,7 +60,7 @@
     executor.spawn(reloader.run(reload_signals)).detach();
     let clients = startup::start_listener(
         &state,
-        CLIENT_LISTENER,
+        listener_names::CLIENTS,
         ClientHandler::new(Rc::clone(&state)),
         socket,
         state.limits.client.connections,
--- a/crates/router/src/server/shutdown.rs
+++ b/crates/router/src/server/shutdown.rs
@@ -50,6 +50,7 @@
         self.abandon_requests().await;
         self.leave_fleet().await;
         self.state.listeners.report();
+        self.state.memory.report();
         self.state.watch_metrics.report();
         tracing::info!(calls = ?self.state.external.counters(), "stopped");
     }
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -15,20 +15,16 @@
 use super::shutdown::RunningListener;
 use crate::configuration::limits::{ConnectionLimits, ExtraListeners, Limits, PeerLimits};
 use crate::configuration::{Configuration, Fronts};
-use crate::connections::{Acceptor, ConnectionHandler, ListenerRegistry};
+use crate::connections::{Acceptor, ConnectionHandler, ListenerRegistry, listener_names};
 use crate::discovery::{WatchMetrics, apply_event};
 use crate::external::{ExternalProcessing, GrpcHandler, PlainHandler};
 use crate::fleet::{Fleet, LocalRouter};
 use crate::log_throttle::LogThrottle;
-use crate::operator::control_socket;
+use crate::memory::MemoryAccount;
+use crate::operator::control_socket::{self, ControlHandler};
 use crate::signed_urls::SignedUrls;
 use crate::state::RouterState;
-use crate::upstream::{EndpointPool, MemoryBudget};
-
-/// The key of the fronts file of the gRPC listener for proxies, also its name in the log.
-const EXTERNAL_PROCESSING: &str = "external_processing";
-/// The key of the fronts file of the plain HTTP listener for proxies, also its name in the log.
-const PLAIN_CALL: &str = "call";
+use crate::upstream::EndpointPool;
 
 /// Creates the state that all tasks share, and applies the initial events of the configuration.
 pub fn create_state(
@@ -55,7 +51,9 @@
         None => None,
     };
     let listeners = Rc::<ListenerRegistry>::default();
-    let fleet = start_fleet(executor, &engine, &listeners, configuration, &limits, fronts)?;
+    let memory = MemoryAccount::new(&limits.memory);
+    let shared = SharedParts { executor, engine: &engine, listeners: &listeners, memory: &memory };
+    let fleet = start_fleet(&shared, configuration, &limits, fronts)?;
     let state = Rc::new(RouterState {
         executor: Rc::clone(executor),
         limits,
@@ -70,7 +68,7 @@
         endpoints: EndpointPool::new(limits.upstream),
         listeners,
         unwritten_replies: Rc::default(),
-        memory: MemoryBudget::new(limits.max_buffered_bytes),
+        memory,
         overload_log: LogThrottle::default(),
         malformed_log: LogThrottle::default(),
         watch_position: RefCell::new(WatchPosition::after(configuration.initial_sequence)),
@@ -82,6 +80,14 @@
     Ok(state)
 }
 
+/// The parts that the fleet's listeners share with the others.
+struct SharedParts<'a> {
+    executor: &'a Rc<LocalExecutor<'static>>,
+    engine: &'a Rc<EngineHandle>,
+    listeners: &'a Rc<ListenerRegistry>,
+    memory: &'a Rc<MemoryAccount>,
+}
+
 /// Returns which listeners the fronts file switches on.
 fn extra_listeners(fronts: &Fronts) -> ExtraListeners {
     let for_proxies = [&fronts.external_processing, &fronts.call];
@@ -93,14 +99,13 @@
 
 /// Joins the fleet that the fronts file configures, if any, and makes it the gate that admits requests.
 fn start_fleet(
-    executor: &Rc<LocalExecutor<'static>>,
-    engine: &Rc<EngineHandle>,
-    listeners: &Rc<ListenerRegistry>,
+    shared: &SharedParts,
     configuration: &Configuration,
     limits: &Limits,
     fronts: &Fronts,
 ) -> Result<Option<Rc<Fleet>>> {
     let Some(fleet_settings) = &fronts.fleet else { return Ok(None) };
+    let SharedParts { executor, engine, listeners, memory } = *shared;
     let in_flight = {
         let engine = Rc::clone(engine);
         Box::new(move || engine.open_requests())
@@ -112,6 +117,7 @@
         classes: configuration.classes.iter().map(|class| class.name.clone()).collect(),
         limits: limits.peer,
         listeners: Rc::clone(listeners),
+        memory: Rc::clone(memory),
         open_requests_limit: limits.max_open_requests,
         requests_in_flight: in_flight,
         retry_after: Span::micros(limits.no_lease_retry_after.as_micros() as u64),
@@ -119,25 +125,20 @@
     let fleet = Fleet::start(executor, fleet_settings, local_router).context("fronts")?;
     engine.set_gate(Rc::clone(&fleet) as Rc<dyn AdmissionGate>);
     if let Some(path) = fleet_settings.operator_socket.clone() {
-        spawn_control_socket(executor, listeners, &fleet, path, limits.peer);
+        spawn_control_socket(shared, &fleet, path, limits.peer);
     }
     Ok(Some(fleet))
 }
 
-fn spawn_control_socket(
-    executor: &Rc<LocalExecutor<'static>>,
-    listeners: &Rc<ListenerRegistry>,
-    fleet: &Rc<Fleet>,
-    path: PathBuf,
-    limits: PeerLimits,
-) {
-    let (listeners, fleet) = (Rc::clone(listeners), Rc::clone(fleet));
-    let socket = control_socket::serve(Rc::clone(executor), listeners, fleet, path, limits);
+fn spawn_control_socket(shared: &SharedParts, fleet: &Rc<Fleet>, path: PathBuf, limits: PeerLimits) {
+    let (listeners, memory) = (Rc::clone(shared.listeners), Rc::clone(shared.memory));
+    let handler = ControlHandler::new(Rc::clone(shared.executor), Rc::clone(fleet), limits, memory);
+    let socket = control_socket::serve(handler, listeners, path, limits);
     let task = async move {
         let Err(error) = socket.await;
         tracing::error!("operator socket failed: {error:#}");
     };
-    executor.spawn(task).detach();
+    shared.executor.spawn(task).detach();
 }
 
 /// In a fleet, charges each new endpoint connection against the router's quota.
@@ -172,14 +173,14 @@
     let limits = state.limits.proxy.connections;
     let mut listeners = Vec::new();
     if let Some(front) = fronts.external_processing {
-        let socket = bind_front(EXTERNAL_PROCESSING, front.listen)?;
+        let socket = bind_front(listener_names::EXTERNAL_PROCESSING, front.listen)?;
         let handler = GrpcHandler::new(Rc::clone(state), front.headers);
-        listeners.push(start_listener(state, EXTERNAL_PROCESSING, handler, socket, limits));
+        listeners.push(start_listener(state, listener_names::EXTERNAL_PROCESSING, handler, socket, limits));
     }
     if let Some(front) = fronts.call {
-        let socket = bind_front(PLAIN_CALL, front.listen)?;
+        let socket = bind_front(listener_names::CALL, front.listen)?;
         let handler = PlainHandler::new(Rc::clone(state), front.headers);
-        listeners.push(start_listener(state, PLAIN_CALL, handler, socket, limits));
+        listeners.push(start_listener(state, listener_names::CALL, handler, socket, limits));
     }
     Ok(listeners)
 }
@@ -206,6 +207,7 @@
     loop {
         Timer::after(state.limits.report_interval).await;
         state.listeners.report();
+        state.memory.report();
         state.watch_metrics.report();
     }
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -15,8 +15,9 @@
 use crate::external::ExternalProcessing;
 use crate::fleet::Fleet;
 use crate::log_throttle::LogThrottle;
+use crate::memory::MemoryAccount;
 use crate::signed_urls::SignedUrls;
-use crate::upstream::{EndpointPool, MemoryBudget};
+use crate::upstream::EndpointPool;
 
 /// The state that the tasks of the router share. All tasks run on one thread.
 pub struct RouterState {
@@ -46,8 +47,8 @@
     pub listeners: Rc<ListenerRegistry>,
     /// The number of unwritten replies on all client connections together.
     pub unwritten_replies: Rc<Cell<usize>>,
-    /// The memory budget for frames and bodies.
-    pub memory: Rc<MemoryBudget>,
+    /// The account of the memory that untrusted peers occupy.
+    pub memory: Rc<MemoryAccount>,
     /// Throttles the log of requests rejected for lack of capacity.
     pub overload_log: LogThrottle,
     /// Throttles the log of messages that could not be parsed.
--- a/crates/router/src/timeout.rs
+++ b/crates/router/src/timeout.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, future};
+use futures_lite::{AsyncWrite, AsyncWriteExt, future};
 
 /// Runs an operation with a time limit. If it does not finish in time, returns an error of kind `TimedOut`.
 ///
@@ -41,20 +41,3 @@
     }
     Ok(())
 }
-
-/// Fills the buffer. Returns an error of kind `TimedOut` if no byte arrives for the time of `limit`: a slow sender
-/// may take as long as it needs.
-pub async fn read_exact_with_progress<R: AsyncRead + Unpin>(
-    limit: Duration,
-    stream: &mut R,
-    mut buffer: &mut [u8],
-) -> io::Result<()> {
-    while !buffer.is_empty() {
-        let received = with_timeout(limit, stream.read(buffer)).await?;
-        if received == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        buffer = &mut buffer[received..];
-    }
-    Ok(())
-}
--- a/crates/router/src/upstream/exchange.rs
+++ b/crates/router/src/upstream/exchange.rs
@@ -9,8 +9,8 @@
 use tindoor_http::{ParseError, ResponseHead, parse_response_head};
 
 use super::connection::EndpointConnection;
-use super::memory_budget::{MemoryBudget, MemoryReservation};
 use super::pool::EndpointPool;
+use crate::memory::{MemoryBudget, MemoryReservation};
 
 /// A request whose head is encoded only once a connection is available.
 pub trait PendingRequest {
--- a/crates/router/tests/support/http2.rs
+++ b/crates/router/tests/support/http2.rs
@@ -1,5 +1,7 @@
 //! A client of the gRPC front that sends and receives single HTTP/2 frames.
 
+#![allow(dead_code)]
+
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
--- a/crates/router/tests/unit/downstream_connections.rs
+++ b/crates/router/tests/unit/downstream_connections.rs
@@ -12,6 +12,7 @@
 use crate::configuration::limits::{ClientLimits, ConnectionLimits, LimitInputs, Limits};
 use crate::connections::{ListenerRegistry, discard_until_closed, half_close};
 use crate::downstream::frame_reader::FrameReader;
+use crate::memory::MemoryAccount;
 
 /// A frame of one byte.
 const FRAME: [u8; 5] = [0, 0, 0, 1, 7];
@@ -28,6 +29,11 @@
     Limits::new(LimitInputs::default()).client
 }
 
+fn memory() -> Rc<MemoryAccount> {
+    let limits = Limits::new(LimitInputs { memory_mb: 32, ..LimitInputs::default() });
+    MemoryAccount::new(&limits.memory)
+}
+
 /// Closes one of these connections to make room; returns false if none can be closed.
 fn close_one(connections: &[&Rc<Connection>], limits: ConnectionLimits) -> bool {
     let table = ListenerRegistry::default().add("clients", limits);
@@ -50,22 +56,22 @@
 
 #[test]
 fn a_connection_with_an_unread_call_is_not_closed() {
-    let (connection, mut client) = connect();
+    let (memory, (connection, mut client)) = (memory(), connect());
     client.write_all(&FRAME).unwrap();
     async_io::block_on(connection.stream.readable()).unwrap();
     assert!(!close_one(&[&connection], limits().connections));
     assert_eq!(connection.phase(), Phase::Open);
-    let mut frames = FrameReader::new(&connection, limits());
+    let mut frames = FrameReader::new(&connection, &memory, limits());
     assert!(async_io::block_on(frames.next_frame()).unwrap().is_some(), "the call is still read");
 }
 
 #[test]
 fn bytes_that_arrive_after_the_close_are_dropped_without_a_reset() {
-    let (connection, mut client) = connect();
+    let (memory, (connection, mut client)) = (memory(), connect());
     assert!(close_one(&[&connection], limits().connections));
     client.write_all(&FRAME).unwrap();
     async_io::block_on(connection.stream.readable()).unwrap();
-    let mut frames = FrameReader::new(&connection, limits());
+    let mut frames = FrameReader::new(&connection, &memory, limits());
     assert!(async_io::block_on(frames.next_frame()).unwrap().is_none(), "frames are no longer read");
     assert_eq!(client.read(&mut [0]).unwrap(), 0, "the connection ends without a reset");
     client.shutdown(std::net::Shutdown::Write).unwrap();
@@ -74,6 +80,7 @@
 
 #[test]
 fn an_incomplete_first_frame_prevents_eviction_only_until_the_first_message_timeout() {
+    let memory = memory();
     let (active, mut active_client) = connect();
     let (fresh, mut fresh_client) = connect();
     active.state.record_message(Instant::now());
@@ -82,7 +89,7 @@
     }
     for connection in [&active, &fresh] {
         async_io::block_on(connection.stream.readable()).unwrap();
-        let mut frames = FrameReader::new(connection, limits());
+        let mut frames = FrameReader::new(connection, &memory, limits());
         let mut next = pin!(frames.next_frame());
         // Polls several times, so that the reader reads what has arrived and waits for the rest.
         (0..4).for_each(|_| assert!(async_io::block_on(future::poll_once(next.as_mut())).is_none()));
--- /dev/null
+++ b/crates/router/tests/untrusted_peers.rs
@@ -0,0 +1,228 @@
+//! Peers that send slowly, stop half way or send without end: on every listener the router stays within its memory,
+//! and the usual peers beside them are served.
+
+#[path = "support/http2.rs"]
+mod http2;
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use http2::{CallEnd, Http2Client};
+use serde_json::{Value, json};
+use support::*;
+use tindoor_testbed::cluster::free_address;
+use tindoor_testbed::peer;
+use tindoor_testbed::stand_in::*;
+
+/// The memory of the router, in megabytes.
+const MEMORY_MB: u64 = 32;
+/// What the router may hold at most, in kilobytes, without the pages of its executable.
+const MAX_PEAK_KB: u64 = 24_000;
+/// A third of the router's descriptors, less some for the usual clients.
+const BAD_CLIENTS: usize = 320;
+/// A twelfth of the router's descriptors.
+const PROXY_CONNECTIONS: usize = 85;
+/// The most connections that the router accepts from peers.
+const PEER_CONNECTIONS: usize = 96;
+/// The largest frame of a client, in bytes.
+const MAX_FRAME_BYTES: usize = 64 << 10;
+/// The largest message of a peer, in bytes.
+const MAX_PEER_MESSAGE_BYTES: usize = 1 << 20;
+/// A piece of a message, as a network cuts it, and the time between two.
+const PIECE_BYTES: usize = 16_000;
+const PIECE_INTERVAL: Duration = Duration::from_millis(20);
+/// How long the usual peers are watched, and the time between two of their calls.
+const WATCHED: Duration = Duration::from_secs(2);
+const CALL_INTERVAL: Duration = Duration::from_millis(20);
+/// The time within which a usual call is answered.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+
+struct Fixture {
+    _change_stream: ChangeStream,
+    _cache: Cache,
+    router: Router,
+}
+
+/// Starts a router with little memory and the listeners for proxies.
+fn fixture() -> Fixture {
+    let listen = json!({"listen": "127.0.0.1:0"});
+    fixture_with_fronts(Some(json!({"external_processing": listen, "call": listen})))
+}
+
+/// Starts a router with little memory and this fronts file.
+fn fixture_with_fronts(fronts: Option<Value>) -> Fixture {
+    let (cache, change_stream) = (Cache::start(|_| Behavior::Respond(served(b"x"))), ChangeStream::start());
+    let entries = vec![
+        endpoint_entry("c-1", cache.address, "cache", "active"),
+        endpoint_entry("p-1", cache.address, "parent", "active"),
+        endpoint_entry("o-1", cache.address, "origin", "active"),
+    ];
+    let mut configuration = configuration(change_stream.address, entries);
+    configuration["limits"]["memory_mb"] = json!(MEMORY_MB);
+    let options = StartOptions { fronts, log_level: Some("info"), ..StartOptions::default() };
+    let router = Router::start_with(&configuration, &options);
+    Fixture { _change_stream: change_stream, _cache: cache, router }
+}
+
+impl Fixture {
+    fn assert_within_memory(&self) {
+        let peak = self.router.peak_kb();
+        assert!(peak < MAX_PEAK_KB, "{peak} KB");
+    }
+
+    fn assert_evictions_logged(&self, listener: &str) {
+        let text = format!(
+            "incomplete message evicted: incomplete messages hold all of their memory listener=\"{listener}\""
+        );
+        let is_logged = |log: &mut Vec<String>| log.iter().any(|line| line.contains(&text)).then_some(());
+        self.router.log.wait("the eviction to be logged", is_logged);
+    }
+}
+
+/// Sends these bytes in pieces on every connection.
+fn send_in_pieces(connections: &mut [TcpStream], bytes: &[u8]) {
+    for piece in bytes.chunks(PIECE_BYTES) {
+        for connection in connections.iter_mut() {
+            // The router may have closed it.
+            let _ = connection.write_all(piece);
+        }
+        thread::sleep(PIECE_INTERVAL);
+    }
+}
+
+fn connect(count: usize, address: SocketAddr) -> Vec<TcpStream> {
+    (0..count).map(|_| TcpStream::connect(address).unwrap()).collect()
+}
+
+/// Makes calls of a usual client for the time `WATCHED`; each must be served.
+fn assert_client_is_served(fixture: &Fixture) {
+    let (mut client, begun, mut seq) = (Client::connect(&fixture.router), Instant::now(), 0);
+    while begun.elapsed() < WATCHED {
+        seq += 1;
+        client.request(seq, OBJECT);
+        assert_eq!(client.reply(), (seq, served_reply(b"x")));
+        thread::sleep(CALL_INTERVAL);
+    }
+}
+
+/// Makes calls over gRPC for the time `WATCHED`; each must be answered.
+fn assert_proxy_is_answered(fixture: &Fixture) {
+    let mut client = Http2Client::connect(fixture.router.front("external_processing"));
+    let begun = Instant::now();
+    for correlation_id in 0x5000.. {
+        if begun.elapsed() >= WATCHED {
+            return;
+        }
+        let stream = client.call(correlation_id);
+        assert_eq!(client.wait_for(stream, ANSWER_TIMEOUT), CallEnd::Answered);
+        client.report(stream);
+        client.end_stream(stream);
+        thread::sleep(CALL_INTERVAL);
+    }
+}
+
+// Guards against a kill for memory: 320 clients whose frames are one byte short (review/7).
+#[test]
+fn incomplete_frames_of_hundreds_of_clients_stay_within_memory() {
+    let fixture = fixture_with_fronts(None);
+    let mut frame = (MAX_FRAME_BYTES as u32).to_be_bytes().to_vec();
+    frame.resize(frame.len() + MAX_FRAME_BYTES - 1, 7);
+    let mut bad = connect(BAD_CLIENTS, fixture.router.address);
+    let sending = thread::spawn(move || {
+        send_in_pieces(&mut bad, &frame);
+        bad
+    });
+    assert_client_is_served(&fixture);
+    drop(sending.join());
+    fixture.assert_within_memory();
+    fixture.assert_evictions_logged("clients");
+}
+
+// Guards against a kill for memory: gRPC streams whose first message has begun and does not go on.
+#[test]
+fn begun_messages_on_hundreds_of_streams_stay_within_memory() {
+    let fixture = fixture();
+    let front = fixture.router.front("external_processing");
+    let mut bad: Vec<_> = (0..PROXY_CONNECTIONS - 25).map(|_| Http2Client::connect(front)).collect();
+    // The length of a message of 60,000 bytes, and its begin.
+    let mut begun = vec![0, 0, 0, 0xea, 0x60];
+    begun.resize(300, 7);
+    let sending = thread::spawn(move || {
+        for _ in 0..100 {
+            for client in &mut bad {
+                let stream = client.open_stream();
+                client.send(&http2::frame(0, 0, stream, &begun));
+            }
+        }
+        thread::sleep(WATCHED);
+    });
+    assert_proxy_is_answered(&fixture);
+    sending.join().unwrap();
+    fixture.assert_within_memory();
+    fixture.assert_evictions_logged("external_processing");
+}
+
+// Guards against a kill for memory: messages of many empty fields, which take far more memory than their bytes, on
+// streams that stay open.
+#[test]
+fn messages_of_many_short_fields_stay_within_memory() {
+    let fixture = fixture();
+    let front = fixture.router.front("external_processing");
+    let mut bad: Vec<_> = (0..PROXY_CONNECTIONS - 25).map(|_| Http2Client::connect(front)).collect();
+    let fields: Vec<(String, String)> =
+        (0..2000).map(|index| (format!("x-{index}"), String::new())).collect();
+    let fields: Vec<_> = fields.iter().map(|(name, value)| (&**name, &**value)).collect();
+    for round in 0..20 {
+        for (index, client) in bad.iter_mut().enumerate() {
+            let stream = client.open_stream();
+            let message = peer::request_headers((index * 100 + round) as u64, &fields);
+            for piece in message.chunks(PIECE_BYTES) {
+                client.send(&http2::frame(0, 0, stream, piece));
+            }
+        }
+    }
+    assert_proxy_is_answered(&fixture);
+    fixture.assert_within_memory();
+}
+
+// Guards against a kill for memory: heads of many short fields that are never completed, on the plain call.
+#[test]
+fn incomplete_heads_of_proxies_stay_within_memory() {
+    let fixture = fixture();
+    let mut bad = connect(PROXY_CONNECTIONS - 25, fixture.router.front("call"));
+    let mut head = b"GET /v1/store/pages/7f3a9c21e0b4d655/3 HTTP/1.1\r\n".to_vec();
+    while head.len() < PIECE_BYTES {
+        head.extend(b"a:\r\n");
+    }
+    let sending = thread::spawn(move || {
+        send_in_pieces(&mut bad, &head);
+        thread::sleep(WATCHED);
+    });
+    assert_client_is_served(&fixture);
+    sending.join().unwrap();
+    fixture.assert_within_memory();
+}
+
+// Guards against a kill for memory: long messages on the fleet's listener that are never completed.
+#[test]
+fn incomplete_messages_of_peers_stay_within_memory() {
+    let address = free_address();
+    let fleet = json!({"name": "test", "listen": address.to_string(), "seeds": [address.to_string()],
+                       "votes": true, "voters": 1});
+    let fixture = fixture_with_fronts(Some(json!({"fleet": fleet})));
+    let mut bad = connect(PEER_CONNECTIONS, address);
+    for connection in &mut bad {
+        connection.write_all(b"tindoor-fleet 1 test stranger\n").unwrap();
+        connection.write_all(&(MAX_PEER_MESSAGE_BYTES as u32).to_be_bytes()).unwrap();
+    }
+    send_in_pieces(&mut bad, &vec![7; MAX_PEER_MESSAGE_BYTES - 1]);
+    fixture.assert_within_memory();
+    fixture.assert_evictions_logged("fleet");
+    // Those whose messages still fit are not closed.
+    let mut last = bad.pop().unwrap();
+    last.set_read_timeout(Some(PIECE_INTERVAL)).unwrap();
+    assert!(last.read(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock));
+}
--- a/crates/thrift/src/lib.rs
+++ b/crates/thrift/src/lib.rs
@@ -9,7 +9,7 @@
 mod reply;
 mod wire;
 
-pub use message::{Fields, Message, ParseError, parse, take_frame};
+pub use message::{Fields, Message, ParseError, frame_bytes, parse, take_frame};
 pub use reply::{
     Answer, ApplicationExceptionKind, Reply, TextField, aborted, answer, application_exception, try_later,
 };
--- a/crates/thrift/src/message.rs
+++ b/crates/thrift/src/message.rs
@@ -69,6 +69,13 @@
     }
 }
 
+/// Returns the size of the frame at the front of `buffer`, with its length prefix. `None` if the prefix is
+/// incomplete or its length is negative.
+pub fn frame_bytes(buffer: &[u8]) -> Option<usize> {
+    let length = i32::from_be_bytes(*buffer.first_chunk::<FRAME_LENGTH_SIZE>()?);
+    usize::try_from(length).ok().map(|size| FRAME_LENGTH_SIZE + size)
+}
+
 /// Removes the next frame from the front of `buffer` and returns it without its length. `None` if the frame
 /// is still incomplete.
 ///
