--- a/crates/external-requests/benches/table.rs
+++ b/crates/external-requests/benches/table.rs
@@ -63,9 +63,15 @@
         endpoint: EndpointId(1),
         directives: None,
         timeout: time_remaining,
+        send_by: None,
     };
     table.decision_made(now, host, RequestNumber(index), decision);
-    table.confirm_send(call, &CallReply::Decision { decision, use_within: time_remaining, time_remaining });
+    table.confirm_send(
+        now,
+        host,
+        call,
+        &CallReply::Decision { decision, use_within: time_remaining, time_remaining },
+    );
     let report = Report {
         outcome: Outcome::new(AttemptStatus::Served, OutcomeDetail::Unknown),
         stored_result: StoredResult { status: 200, version: 0 },
--- a/crates/external-requests/src/call.rs
+++ b/crates/external-requests/src/call.rs
@@ -1,7 +1,7 @@
 //! The messages between a proxy and the table: calls, routing decisions, reports and replies.
 
 use tindoor::host::{Authorization, EndpointId, FillDirectives, Outcome};
-use tindoor::time::Span;
+use tindoor::time::{Moment, Span};
 
 /// The id of a proxy's call, assigned by the front. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -36,6 +36,11 @@
     pub authorization: Authorization,
 }
 
+/// The time that is kept for a decision to be sent after it was issued.
+const SEND_MARGIN: Span = Span::millis(10);
+/// The shortest time within which a proxy can be told to use a decision.
+const MIN_USE_WITHIN: Span = Span::millis(1);
+
 /// A routing decision, as made by the routing engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RoutingDecision {
@@ -47,9 +52,20 @@
     pub directives: Option<FillDirectives>,
     /// The time limit of the attempt, counted from the decision.
     pub timeout: Span,
+    /// The time after which the attempt must not begin, because the request may have run before. `None` if only the
+    /// time limit applies.
+    pub send_by: Option<Moment>,
 }
 
 impl RoutingDecision {
+    /// Returns how long a proxy that gets the decision at `now` may hold it before the attempt begins, at most
+    /// `use_within`. `None` if the attempt must not begin any more.
+    pub(crate) fn limit_use(&self, now: Moment, use_within: Span) -> Option<Span> {
+        let Some(send_by) = self.send_by else { return Some(use_within) };
+        let limited = send_by.since(now + SEND_MARGIN).min(use_within);
+        (limited >= MIN_USE_WITHIN).then_some(limited)
+    }
+
     /// Returns the endpoint that a miss is filled from. `None` for a cache-only read.
     pub fn source(&self) -> Option<EndpointId> {
         self.directives.map(|directives| directives.source)
--- a/crates/external-requests/src/counters.rs
+++ b/crates/external-requests/src/counters.rs
@@ -23,6 +23,8 @@
     pub used_late: u64,
     /// Decisions withdrawn before they were sent to the proxy.
     pub withdrawn: u64,
+    /// Decisions withdrawn because their attempt could no longer begin in time.
+    pub lapsed: u64,
     /// Decisions that became stale after they had been sent, so that they could not be withdrawn.
     pub stale: u64,
     /// Calls that waited for another request with the same idempotency key.
--- a/crates/external-requests/src/table/decisions.rs
+++ b/crates/external-requests/src/table/decisions.rs
@@ -35,7 +35,23 @@
     fn keep_for_retry(&mut self, number: RequestNumber, decision: RoutingDecision, until: Moment) {
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.progress = Progress::RetryReady { decision, until };
+        self.set_timer(number, Some(decision.send_by.map_or(until, |send_by| send_by.min(until))));
+    }
+
+    /// Withdraws a decision that was kept for the next call, as its attempt must not begin any more. The request is
+    /// kept for its next call, and the routing engine decides again.
+    pub(super) fn kept_decision_lapsed(
+        &mut self,
+        host: &mut impl TableHost,
+        number: RequestNumber,
+        decision: RoutingDecision,
+        until: Moment,
+    ) {
+        let Some(request) = self.requests.get_mut(&number) else { return };
+        self.counters.lapsed += 1;
+        request.progress = Progress::AwaitingNextCall { until };
         self.set_timer(number, Some(until));
+        end_attempt(host, number, decision.attempt_index, AttemptStatus::Superseded, false);
     }
 
     /// Issues a decision to a call, with a lease that limits how long the decision stays in flight.
@@ -48,12 +64,18 @@
         decision: RoutingDecision,
     ) {
         let Some(request) = self.requests.get_mut(&number) else { return };
-        self.counters.decisions += 1;
         let time_remaining = decision.timeout.min(request.deadline.since(now));
-        let use_within = self.limits.use_within.min(time_remaining);
+        let max_use = self.limits.use_within.min(time_remaining);
+        let Some(use_within) = decision.limit_use(now, max_use) else {
+            self.counters.lapsed += 1;
+            request.progress = Progress::AwaitingDecision(call);
+            self.set_timer(number, None);
+            return end_attempt(host, number, decision.attempt_index, AttemptStatus::Superseded, false);
+        };
+        self.counters.decisions += 1;
         let expires_at = now + use_within + time_remaining + self.limits.report_grace;
         request.first_ran = request.first_ran.or(Some((now, decision.endpoint)));
-        let lease = DecisionLease { decision, issued_at: now, expires_at, call, is_sent: false };
+        let lease = DecisionLease { decision, issued_at: now, expires_at, call, use_within, is_sent: false };
         request.progress = Progress::DecisionIssued(lease);
         self.set_timer(number, Some(expires_at));
         host.reply(call, CallReply::Decision { decision, use_within, time_remaining });
@@ -61,14 +83,27 @@
 
     /// Marks a reply as sent. Must be called right before the reply is sent.
     ///
-    /// Returns `false` if the reply is a decision that has been withdrawn: it must not be sent, and the call
-    /// waits for the next reply.
-    pub fn confirm_send(&mut self, call: CallId, reply: &CallReply) -> bool {
+    /// Returns `false` if the reply is a decision that has been withdrawn, or whose attempt would begin too late: it
+    /// must not be sent, and the call waits for the next reply.
+    pub fn confirm_send(
+        &mut self,
+        now: Moment,
+        host: &mut impl TableHost,
+        call: CallId,
+        reply: &CallReply,
+    ) -> bool {
         let CallReply::Decision { decision, .. } = reply else { return true };
-        let request = self.calls.get(&call).and_then(|number| self.requests.get_mut(number));
-        match request.map(|request| &mut request.progress) {
-            Some(Progress::DecisionIssued(lease)) if lease.call == call && lease.decision == *decision => {
-                lease.is_sent = true;
+        let Some(&number) = self.calls.get(&call) else { return false };
+        let Some(request) = self.requests.get_mut(&number) else { return false };
+        match &mut request.progress {
+            Progress::DecisionIssued(lease) if lease.call == call && lease.decision == *decision => {
+                lease.is_sent = lease.may_be_sent(now);
+                if !lease.is_sent {
+                    let lease = *lease;
+                    self.counters.lapsed += 1;
+                    self.withdraw(host, number, lease);
+                    return false;
+                }
                 true
             }
             _ => false,
@@ -90,6 +125,7 @@
             Progress::DecisionIssued(lease)
                 if lease.decision.attempt_index == attempt_index && !lease.is_sent =>
             {
+                self.counters.withdrawn += 1;
                 self.withdraw(host, number, lease);
             }
             Progress::RetryReady { decision: RoutingDecision { attempt_index: current, .. }, until }
@@ -121,6 +157,7 @@
                     if lease.is_sent || !self.checks.withdrawal {
                         self.counters.stale += 1;
                     } else {
+                        self.counters.withdrawn += 1;
                         self.withdraw(host, number, lease);
                     }
                 }
@@ -138,7 +175,6 @@
 
     /// Withdraws a decision that has not been sent. Its call waits for the next decision.
     fn withdraw(&mut self, host: &mut impl TableHost, number: RequestNumber, lease: DecisionLease) {
-        self.counters.withdrawn += 1;
         self.set_timer(number, None);
         let Some(request) = self.requests.get_mut(&number) else { return };
         request.progress = Progress::AwaitingDecision(lease.call);
--- a/crates/external-requests/src/table/expiry.rs
+++ b/crates/external-requests/src/table/expiry.rs
@@ -79,6 +79,9 @@
         request.timer = None;
         match request.progress {
             Progress::DecisionIssued(lease) => return self.lease_expired(now, host, number, lease),
+            Progress::RetryReady { decision, until } if now < until => {
+                return self.kept_decision_lapsed(host, number, decision, until);
+            }
             Progress::RetryReady { decision, .. } => {
                 end_attempt(host, number, decision.attempt_index, AttemptStatus::Superseded, true);
             }
--- a/crates/external-requests/src/table/request.rs
+++ b/crates/external-requests/src/table/request.rs
@@ -1,7 +1,7 @@
 //! The state of one request in the table.
 
 use tindoor::host::{Authorization, EndpointId};
-use tindoor::time::Moment;
+use tindoor::time::{Moment, Span};
 
 use crate::{CallId, CallReply, ExternalRequest, RequestNumber, RoutingDecision};
 
@@ -13,6 +13,8 @@
     /// When the decision expires if no report arrives before.
     pub expires_at: Moment,
     pub call: CallId,
+    /// The time within which the proxy must use the decision, counted from when it is sent.
+    pub use_within: Span,
     /// Whether the decision was sent to the proxy. A sent decision can't be withdrawn.
     pub is_sent: bool,
 }
@@ -26,8 +28,8 @@
     DecisionIssued(DecisionLease),
     /// A failure was reported on this call, which waits for the routing engine to decide on a retry.
     AwaitingRetryDecision(CallId),
-    /// The routing engine decided on a retry, and the next call has not arrived yet. The decision is kept
-    /// until `until`.
+    /// The routing engine decided on a retry, and the next call has not arrived yet. The request is kept until
+    /// `until`, and the decision for as long as its attempt may begin.
     RetryReady { decision: RoutingDecision, until: Moment },
     /// The call ended after its decision, without a report. The end of the attempt is reported to the routing
     /// engine when the next call arrives, or at `until`.
@@ -58,6 +60,13 @@
     pub timer: Option<Moment>,
 }
 
+impl DecisionLease {
+    /// Returns whether the attempt begins in time if the decision is sent at `now`.
+    pub fn may_be_sent(&self, now: Moment) -> bool {
+        self.decision.send_by.is_none_or(|send_by| now + self.use_within <= send_by)
+    }
+}
+
 impl Request {
     /// Whether a call with the same correlation id is a later attempt of this request and is authorized to
     /// continue it.
--- a/crates/external-requests/tests/model.rs
+++ b/crates/external-requests/tests/model.rs
@@ -264,7 +264,7 @@
 
     fn send(&mut self, call: CallId) -> Option<()> {
         let reply = self.host.unsent.remove(&call)?;
-        if self.table.confirm_send(call, &reply) {
+        if self.table.confirm_send(self.now(), &mut self.host, call, &reply) {
             let kind = match reply {
                 CallReply::Decision { .. } => ReplyKind::Decision,
                 CallReply::AwaitRetry => ReplyKind::AwaitRetry,
@@ -284,6 +284,7 @@
             endpoint: EndpointId(attempt_index.into()),
             directives: None,
             timeout: Span::millis(3),
+            send_by: None,
         };
         let now = self.now();
         self.table.decision_made(now, &mut self.host, number, decision);
--- a/crates/external-requests/tests/table.rs
+++ b/crates/external-requests/tests/table.rs
@@ -110,6 +110,18 @@
             endpoint: EndpointId(endpoint),
             directives: None,
             timeout: Span::millis(900),
+            send_by: None,
+        };
+        self.table.decision_made(self.now(), &mut self.host, RequestNumber(number), decision);
+    }
+    /// Makes a decision whose attempt must begin within this time.
+    fn decide_within(&mut self, number: u64, attempt_index: u16, endpoint: u32, millis: u64) {
+        let decision = RoutingDecision {
+            attempt_index,
+            endpoint: EndpointId(endpoint),
+            directives: None,
+            timeout: Span::millis(900),
+            send_by: Some(self.now() + Span::millis(millis)),
         };
         self.table.decision_made(self.now(), &mut self.host, RequestNumber(number), decision);
     }
@@ -131,7 +143,7 @@
     }
     fn send(&mut self, call: u64) -> bool {
         let reply = self.last_reply(call);
-        self.table.confirm_send(CallId(call), &reply)
+        self.table.confirm_send(self.now(), &mut self.host, CallId(call), &reply)
     }
     fn attempt_ends(&self) -> Vec<(u16, AttemptStatus, bool)> {
         let end = |call: &HostCall| match call {
@@ -445,7 +457,9 @@
         .table
         .withdraw_stale_decisions(&mut fixture.host, |_, decision| decision.endpoint == EndpointId(2));
     assert_eq!(fixture.attempt_ends(), [(0, AttemptStatus::Superseded, false)]);
-    assert!(!fixture.table.confirm_send(CallId(2), &reply), "a withdrawn decision must not be sent");
+    let now = fixture.now();
+    let is_sent = fixture.table.confirm_send(now, &mut fixture.host, CallId(2), &reply);
+    assert!(!is_sent, "a withdrawn decision must not be sent");
     assert_eq!((fixture.table.counters.withdrawn, fixture.table.counters.stale), (1, 1));
     fixture.decide(2, 1, 3);
     assert!(fixture.has_decision(2) && fixture.send(2));
@@ -491,6 +505,40 @@
     );
 }
 
+// Guards against a write that runs twice: a retry kept for the proxy's next call beyond the write's window (review/6).
+#[test]
+fn a_kept_decision_is_withdrawn_once_its_attempt_must_not_begin_any_more() {
+    let mut fixture = fixture();
+    fixture.call(1, write(5, 1, 77));
+    fixture.decide(1, 0, 2);
+    assert!(fixture.send(1));
+    fixture.report(1, AttemptStatus::Incomplete);
+    fixture.decide_within(1, 1, 3, 90);
+    assert_eq!(fixture.last_reply(1), CallReply::AwaitRetry);
+    fixture.advance(90);
+    assert_eq!(fixture.attempt_ends().last(), Some(&(1, AttemptStatus::Superseded, false)));
+    fixture.call(2, write(5, 2, 77));
+    assert!(!fixture.host.replies.contains_key(&CallId(2)), "the routing engine decides again");
+    fixture.table.request_failed(fixture.now(), &mut fixture.host, RequestNumber(1));
+    assert_eq!(fixture.last_reply(2), CallReply::Failed(RefusalReason::GaveUp));
+    assert_eq!(fixture.table.counters.lapsed, 1);
+}
+
+// Guards against a write that runs twice: a proxy that may hold its decision beyond the write's window (review/6).
+#[test]
+fn a_decision_may_be_held_only_until_its_attempt_must_begin() {
+    let mut fixture = fixture();
+    fixture.call(1, write(5, 1, 77));
+    fixture.decide_within(1, 0, 2, 110);
+    let CallReply::Decision { use_within, .. } = fixture.last_reply(1) else { panic!("expected a decision") };
+    assert_eq!(use_within, Span::millis(100), "10 ms are kept for the way to the proxy");
+    fixture.now_ms += 11;
+    assert!(!fixture.send(1), "the proxy's stream took no decision for 11 ms");
+    assert_eq!(fixture.attempt_ends(), [(0, AttemptStatus::Superseded, false)]);
+    fixture.decide_within(1, 1, 2, 10);
+    assert_eq!(fixture.attempt_ends().last(), Some(&(1, AttemptStatus::Superseded, false)));
+}
+
 #[test]
 fn a_shutdown_sends_one_final_reply_to_every_open_call() {
     let mut fixture = fixture();
--- a/crates/extproc/tests/golden.rs
+++ b/crates/extproc/tests/golden.rs
@@ -89,8 +89,13 @@
 ) -> String {
     let source = source.map(str::to_string);
     let target = response::RoutingTarget { endpoint: "c-1".into(), address: "10.0.0.1:80".into(), source };
-    let decision =
-        RoutingDecision { attempt_index: 4, endpoint: EndpointId(1), directives, timeout: Span::millis(900) };
+    let decision = RoutingDecision {
+        attempt_index: 4,
+        endpoint: EndpointId(1),
+        directives,
+        timeout: Span::millis(900),
+        send_by: None,
+    };
     let [use_within, time_remaining] = spans;
     let fields = response::decision_headers(
         &call(&[PATH, ID]).unwrap(),
--- a/crates/extproc/tests/headers.rs
+++ b/crates/extproc/tests/headers.rs
@@ -121,6 +121,7 @@
         endpoint: EndpointId(1),
         directives: Some(directives),
         timeout: Span::millis(900),
+        send_by: None,
     };
     let fields =
         response::decision_headers(&request, &decision, &target, Span::millis(200), Span::millis(700));
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -29,6 +29,19 @@
 use call::Call;
 use table_host::{Host, InFlight};
 
+/// Returns the routing decision of an attempt; `now` is the current time.
+fn decision_of(attempt: &Attempt, now: Moment) -> RoutingDecision {
+    let span = |duration: Duration| Span::micros(duration.as_micros() as u64);
+    let time_to_send = |send_by: Instant| span(send_by.saturating_duration_since(Instant::now()));
+    RoutingDecision {
+        attempt_index: attempt.index,
+        endpoint: attempt.endpoint,
+        directives: attempt.directives,
+        timeout: span(attempt.timeout),
+        send_by: attempt.send_by.map(|send_by| now + time_to_send(send_by)),
+    }
+}
+
 /// The externally processed requests of this router.
 pub struct ExternalProcessing {
     executor: Rc<LocalExecutor<'static>>,
@@ -100,8 +113,8 @@
 
     /// Marks a reply as sent, immediately before it is sent. Returns false if the reply was withdrawn and
     /// must not be sent.
-    fn confirm_send(&self, call: &Call, reply: &CallReply) -> bool {
-        self.table.borrow_mut().confirm_send(call.id, reply)
+    fn confirm_send(self: &Rc<Self>, call: &Call, reply: &CallReply) -> bool {
+        self.apply(|table, now, host| table.confirm_send(now, host, call.id, reply))
     }
 
     /// Handles a report that a proxy sends on the stream of its own call.
@@ -142,11 +155,7 @@
             self.in_flight.borrow_mut().add_attempt(number, attempt);
         }
         self.apply(|table, now, host| match action {
-            Action::Send(Attempt { index, endpoint, timeout, directives, .. }) => {
-                let timeout = Span::micros(timeout.as_micros() as u64);
-                let decision = RoutingDecision { attempt_index: index, endpoint, directives, timeout };
-                table.decision_made(now, host, number, decision);
-            }
+            Action::Send(attempt) => table.decision_made(now, host, number, decision_of(&attempt, now)),
             Action::Cancel(attempt_index) => table.attempt_cancelled(host, number, attempt_index),
             Action::Reject(retry_after) => table.request_rejected(now, host, number, retry_after),
             Action::Fail => table.request_failed(now, host, number),
--- a/crates/router/tests/external_processing.rs
+++ b/crates/router/tests/external_processing.rs
@@ -4,9 +4,9 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tindoor_testbed::external_processing::{self, Plan};
 use tindoor_testbed::figures::Figures;
 use tindoor_testbed::peer::{self, PROCESS};
@@ -89,6 +89,11 @@
 }
 
 fn fixture() -> Fixture {
+    fixture_with(|_| {})
+}
+
+/// Starts a fixture with a changed configuration.
+fn fixture_with(change: impl FnOnce(&mut Value)) -> Fixture {
     let (cache, log) = (Cache::start(|_| Behavior::Respond(served(b"x"))), ChangeStream::start());
     let origin = Cache::start(|_| Behavior::Hang);
     let members = vec![
@@ -98,7 +103,9 @@
     let listen = json!({"listen": "127.0.0.1:0"});
     let fronts = Some(json!({"external_processing": listen, "call": listen}));
     let start = StartOptions { fronts, ..StartOptions::default() };
-    let router = Router::start_with(&configuration(log.address, members), &start);
+    let mut configuration = configuration(log.address, members);
+    change(&mut configuration);
+    let router = Router::start_with(&configuration, &start);
     Fixture { _discovery: log, cache, router }
 }
 
@@ -194,6 +201,36 @@
     assert_eq!(header(&replayed, "x-version"), Some("4be0c1927d55a6f3"));
 }
 
+/// Returns a plain call with this attempt number; `headers` are further lines.
+fn plain_call(path: &str, correlation_id: &str, attempt: u32, headers: &str) -> String {
+    let attempt = format!("x-envoy-attempt-count: {attempt}");
+    format!("GET {path} HTTP/1.1\r\nx-ticket: {correlation_id}\r\n{attempt}\r\n{headers}\r\n")
+}
+
+// Guards against a write that runs twice: its connection is reset near the end of its window, and the proxy gets a
+// further decision after the window (review/6).
+#[test]
+fn a_write_is_given_no_further_decision_after_its_window() {
+    const WINDOW: Duration = Duration::from_millis(1000);
+    let fixture = fixture_with(|configuration| {
+        configuration["settings"]["request_classes"][1]["window"] = json!(WINDOW.as_micros() as u64);
+    });
+    let mut client = PlainCallClient::connect(fixture.router.front("call"));
+    let path = format!("/v1/store/saves/{OBJECT}/0");
+    let write = |attempt| plain_call(&path, "00000000000000d1", attempt, &format!("{IDEMPOTENCY_KEY}\r\n"));
+    let begun = Instant::now();
+    let decision = client.request(&write(1));
+    let lease = header(&decision, "x-tindoor-lease").unwrap().to_string();
+    std::thread::sleep(Duration::from_millis(900));
+    let names = format!("x-ticket: 00000000000000d1\r\nx-tindoor-lease: {lease}\r\nx-tindoor-failed: broken");
+    let reply = client.request(&format!("POST /report HTTP/1.1\r\n{names}\r\n\r\n"));
+    // Whether there was time for a retry or not: none may begin after the window.
+    std::thread::sleep(Duration::from_millis(210));
+    let further = client.request(&write(2));
+    assert!(begun.elapsed() > WINDOW);
+    assert_eq!(header(&further, "x-tindoor-address"), None, "after {reply}: {further}");
+}
+
 #[test]
 fn an_invalid_request_is_refused_with_status_400_and_the_name_of_the_invalid_header() {
     let fixture = fixture();
