Yield after a bounded piece of work on every connection

Cause: the plain call's loop awaited nothing while requests came and replies went out, and the HTTP/2 library reads within one poll for as long as there are bytes. The clients' front yielded only once a read of 16 KiB.

--- a/crates/router/src/connections/mod.rs
+++ b/crates/router/src/connections/mod.rs
@@ -8,6 +8,7 @@
 mod registry;
 mod state;
 mod table;
+mod work_turn;
 
 pub use acceptor::{Acceptor, ConnectionHandler, PendingConnections};
 pub use managed::{
@@ -15,3 +16,4 @@
 };
 pub use registry::ListenerRegistry;
 pub use state::{ConnectionState, Phase};
+pub use work_turn::WorkTurn;
--- a/crates/router/src/downstream/frame_reader.rs
+++ b/crates/router/src/downstream/frame_reader.rs
@@ -9,10 +9,13 @@
 
 use super::connection::Connection;
 use crate::configuration::limits::ClientLimits;
-use crate::connections::{Phase, listener_names};
+use crate::connections::{Phase, WorkTurn, listener_names};
 use crate::memory::{Evicted, IncomingMessage, MemoryAccount, Sender, Standing};
 use crate::timeout::with_timeout;
 
+/// How many frames are dispatched before other tasks run.
+const FRAMES_PER_TURN: u32 = 16;
+
 /// One frame from a client.
 pub struct Frame {
     /// The frame, without its length prefix.
@@ -40,6 +43,7 @@
     memory: &'a MemoryAccount,
     limits: ClientLimits,
     message: IncomingMessage,
+    turn: WorkTurn,
     /// When bytes were last read.
     arrived: Instant,
     /// When the first byte of an incomplete frame was read; initially, when the connection was accepted.
@@ -66,6 +70,7 @@
             memory,
             limits,
             message: IncomingMessage::new(&memory.incoming, sender),
+            turn: WorkTurn::new(FRAMES_PER_TURN),
             arrived: now,
             incomplete_since: Some(now),
         }
@@ -75,6 +80,10 @@
     /// connection.
     pub async fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
         loop {
+            if !self.message.is_empty() && self.turn.is_over() {
+                self.hold()?;
+                future::yield_now().await;
+            }
             let bytes = self.take_frame()?;
             let is_drained = self.message.is_empty();
             self.connection.state.set_unparsed_bytes(!is_drained);
--- a/crates/router/src/external/grpc/stream.rs
+++ b/crates/router/src/external/grpc/stream.rs
@@ -4,18 +4,22 @@
 use std::io;
 
 use bytes::Bytes;
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use h2::{Reason, RecvStream, SendStream};
 use http::HeaderMap;
 use tindoor_extproc::frames::{self, FrameError};
 use tindoor_extproc::messages::{Phase, ProcessingRequest, ProcessingResponse};
 
 use crate::configuration::limits::{MemoryLimits, ProxyLimits};
+use crate::connections::WorkTurn;
 use crate::external::connection::ProxyConnection;
 use crate::memory::{Evicted, IncomingMessage, MemoryReservation, Standing};
 use crate::state::RouterState;
 use crate::timeout::with_timeout;
 
+/// How many messages of a stream are handled before other tasks run.
+const MESSAGES_PER_TURN: u32 = 4;
+
 /// The gRPC status of a call: a code and a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GrpcStatus {
@@ -94,6 +98,7 @@
     sender: SendStream<Bytes>,
     receiver: RecvStream,
     received: IncomingMessage,
+    turn: WorkTurn,
 }
 
 impl<'a> MessageStream<'a> {
@@ -112,6 +117,7 @@
             sender,
             receiver,
             received,
+            turn: WorkTurn::new(MESSAGES_PER_TURN),
         }
     }
 
@@ -135,6 +141,9 @@
     /// the future is dropped before it completes.
     pub async fn next(&mut self) -> Result<Option<Phase>, StreamEnd> {
         loop {
+            if self.turn.is_over() {
+                yield_now().await;
+            }
             let decoded = frames::decode(&mut self.received.buffer(), self.limits.max_message_bytes)?;
             if let Some(message) = decoded {
                 self.received.complete();
--- a/crates/router/src/external/http/mod.rs
+++ b/crates/router/src/external/http/mod.rs
@@ -96,6 +96,9 @@
 impl Connection {
     async fn serve_requests(&mut self) -> io::Result<()> {
         loop {
+            // A proxy that sends continuously must not starve the others: whatever has arrived, other tasks run
+            // before the next request is read.
+            future::yield_now().await;
             let head = match self.next_request().await {
                 Ok(Some(head)) => head,
                 Ok(None) => return Ok(()),
--- a/crates/router/tests/untrusted_peers.rs
+++ b/crates/router/tests/untrusted_peers.rs
@@ -226,3 +226,121 @@
     last.set_read_timeout(Some(PIECE_INTERVAL)).unwrap();
     assert!(last.read(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock));
 }
+
+/// The least number of calls of a usual peer that are answered beside a flood, out of `WATCHED` / `CALL_INTERVAL`.
+const MIN_ANSWERED: u32 = 25;
+
+/// Sends these bytes again and again, and drops what the router replies, until the returned guard is dropped.
+fn flood(mut connection: TcpStream, bytes: Vec<u8>) -> Flood {
+    let mut replies = connection.try_clone().unwrap();
+    let socket = connection.try_clone().unwrap();
+    thread::spawn(move || while replies.read(&mut [0; 4096]).is_ok_and(|size| size > 0) {});
+    let sending = thread::spawn(move || while connection.write_all(&bytes).is_ok() {});
+    Flood { socket, sending: Some(sending) }
+}
+
+/// A connection that sends at full speed.
+struct Flood {
+    socket: TcpStream,
+    sending: Option<thread::JoinHandle<()>>,
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        let _ = self.socket.shutdown(std::net::Shutdown::Both);
+        if let Some(sending) = self.sending.take() {
+            sending.join().unwrap();
+        }
+    }
+}
+
+/// Makes plain calls for the time `WATCHED`, each with an id of its own; returns how many were given a decision.
+fn plain_decisions(fixture: &Fixture) -> u32 {
+    let mut connection = TcpStream::connect(fixture.router.front("call")).unwrap();
+    connection.set_read_timeout(Some(WATCHED)).unwrap();
+    let (begun, mut decisions) = (Instant::now(), 0);
+    for id in 0x6000.. {
+        let path = format!("/v1/store/pages/{OBJECT}/3");
+        let call = format!("GET {path} HTTP/1.1\r\nx-ticket: {id:016x}\r\n\r\n");
+        let Some(decision) = exchange(&mut connection, &call) else { return decisions };
+        let lease = decision.lines().find_map(|line| line.strip_prefix("x-tindoor-lease: "));
+        if let Some(lease) = lease {
+            let names = format!("x-ticket: {id:016x}\r\nx-tindoor-lease: {lease}\r\nx-status: 200");
+            let report = format!("POST /report HTTP/1.1\r\n{names}\r\nx-remark: warm\r\n\r\n");
+            exchange(&mut connection, &report);
+            decisions += 1;
+        }
+        if begun.elapsed() >= WATCHED {
+            return decisions;
+        }
+        thread::sleep(CALL_INTERVAL);
+    }
+    decisions
+}
+
+/// Sends a request and returns the head of the response. `None` if none comes in time.
+fn exchange(connection: &mut TcpStream, request: &str) -> Option<String> {
+    connection.write_all(request.as_bytes()).unwrap();
+    let (mut response, mut byte) = (Vec::new(), [0]);
+    while !response.ends_with(b"\r\n\r\n") {
+        connection.read_exact(&mut byte).ok()?;
+        response.push(byte[0]);
+    }
+    Some(String::from_utf8(response).unwrap())
+}
+
+/// Makes calls over gRPC for the time `WATCHED`; returns how many were answered.
+fn grpc_decisions(fixture: &Fixture) -> u32 {
+    let mut client = Http2Client::connect(fixture.router.front("external_processing"));
+    let (begun, mut decisions) = (Instant::now(), 0);
+    for correlation_id in 0x7000.. {
+        let stream = client.call(correlation_id);
+        if client.wait_for(stream, WATCHED) == CallEnd::Answered {
+            client.report(stream);
+            client.end_stream(stream);
+            decisions += 1;
+        }
+        if begun.elapsed() >= WATCHED {
+            return decisions;
+        }
+        thread::sleep(CALL_INTERVAL);
+    }
+    decisions
+}
+
+// Guards against calls that are answered late or never: one proxy that pipelines unsound plain calls at full speed.
+#[test]
+fn calls_are_answered_beside_a_flood_of_plain_calls() {
+    let fixture = fixture();
+    let connection = TcpStream::connect(fixture.router.front("call")).unwrap();
+    let _flood = flood(connection, b"GET /nothing HTTP/1.1\r\n\r\n".repeat(500));
+    let decisions = plain_decisions(&fixture);
+    assert!(decisions >= MIN_ANSWERED, "{decisions} decisions");
+    assert_client_is_served(&fixture);
+}
+
+// Guards against calls that are answered late or never: one proxy that sends small HTTP/2 frames at full speed.
+#[test]
+fn calls_are_answered_beside_a_flood_of_http2_frames() {
+    const PING: u8 = 6;
+    const WINDOW_UPDATE: u8 = 8;
+    const UNKNOWN: u8 = 99;
+    for (kind, payload) in [(PING, &[0; 8][..]), (WINDOW_UPDATE, &[0, 0, 0, 1][..]), (UNKNOWN, &[][..])] {
+        let fixture = fixture();
+        let connection = Http2Client::connect(fixture.router.front("external_processing")).socket;
+        let _flood = flood(connection, http2::frame(kind, 0, 0, payload).repeat(500));
+        let decisions = grpc_decisions(&fixture);
+        assert!(decisions >= MIN_ANSWERED, "{decisions} decisions beside frames of kind {kind}");
+    }
+}
+
+// Guards against calls that are answered late or never: one client that sends unsound calls at full speed.
+#[test]
+fn calls_are_answered_beside_a_flood_of_a_client() {
+    let fixture = fixture();
+    let connection = TcpStream::connect(fixture.router.address).unwrap();
+    let _flood = flood(connection, frame(1, "nothing", 1, &[0]).repeat(500));
+    assert_client_is_served(&fixture);
+    let decisions = plain_decisions(&fixture);
+    assert!(decisions >= MIN_ANSWERED, "{decisions} decisions");
+}
