Remember a non-idempotent request that may have run for the longest wait

Cause: a finished request was remembered until its deadline and 250 ms. A write has its key beside that, a non-idempotent request only its id. Finished reads shared the store, and kept all new requests out while it was full.

Change: ids of non-idempotent requests that may have run have a store of their own, for the longest time that a client may wait with all its retries; they share their room with the idempotency keys, and a request for which there is none is refused as not run. Other finished requests make room for each other. RequestClass names its idempotency in place of a flag.

--- a/crates/external-requests/benches/table.rs
+++ b/crates/external-requests/benches/table.rs
@@ -51,6 +51,7 @@
         part: 0,
         group: 3,
         idempotency_key,
+        is_non_idempotent: false,
         client_retry: false,
         time_remaining,
         authorization: Authorization::Granted,
--- a/crates/external-requests/src/call.rs
+++ b/crates/external-requests/src/call.rs
@@ -28,6 +28,8 @@
     pub group: u32,
     /// The idempotency key. `None` unless the request class is idempotent by key.
     pub idempotency_key: Option<u128>,
+    /// Whether the request must not run twice, and has no idempotency key that would prevent it.
+    pub is_non_idempotent: bool,
     /// Whether the client marked the request as a retry.
     pub client_retry: bool,
     /// How long the client keeps waiting, counted from the call.
--- a/crates/external-requests/src/idempotency_keys.rs
+++ b/crates/external-requests/src/idempotency_keys.rs
@@ -32,6 +32,9 @@
 }
 
 impl IdempotencyKeys {
+    /// What one key occupies, in bytes: the nodes of the trees are half full.
+    pub(crate) const ENTRY_BYTES: usize = 2 * (size_of::<(u128, Entry)>() + size_of::<(Moment, u128)>());
+
     /// Returns the number of stored keys.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/external-requests/src/lib.rs
+++ b/crates/external-requests/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod call;
 mod counters;
+mod finished_requests;
 mod host;
 mod idempotency_keys;
 mod limits;
@@ -23,4 +24,4 @@
 pub use host::TableHost;
 pub use idempotency_keys::IdempotencyKeys;
 pub use limits::{EnabledChecks, Limits};
-pub use table::ExternalRequestTable;
+pub use table::{ExternalRequestTable, FINISHED_REQUEST_BYTES, IDEMPOTENCY_KEY_BYTES};
--- a/crates/external-requests/src/limits.rs
+++ b/crates/external-requests/src/limits.rs
@@ -7,10 +7,11 @@
 pub struct Limits {
     /// The maximum number of requests in flight.
     pub max_requests: usize,
-    /// The maximum number of stored idempotency keys.
+    /// The maximum number of stored idempotency keys together with the stored ids of non-idempotent requests that
+    /// may have run. No further request that needs one starts while that many are stored.
     pub max_idempotency_keys: usize,
-    /// The maximum number of finished requests whose correlation ids are stored. No new request starts while
-    /// that many are stored.
+    /// The maximum number of other finished requests whose replies are stored. The one that expires first is dropped
+    /// for a further one.
     pub max_finished: usize,
     /// The maximum number of calls that wait for the end of one request with the same idempotency key.
     pub max_waiters: usize,
--- a/crates/external-requests/src/table/admission.rs
+++ b/crates/external-requests/src/table/admission.rs
@@ -5,6 +5,7 @@
 
 use super::ExternalRequestTable;
 use super::request::{Progress, Request, Timer, Waiter, may_resume};
+use crate::finished_requests::FinishedRequests;
 use crate::idempotency_keys::KeyState;
 use crate::{CallId, CallReply, ExternalRequest, RefusalReason, RequestNumber, StoredResult, TableHost};
 
@@ -31,7 +32,7 @@
         request: ExternalRequest,
     ) {
         self.counters.calls += 1;
-        self.idempotency_keys.remove_expired(now);
+        self.remove_expired(now);
         if let Some(number) = self.find_in_flight(request.correlation_id) {
             return self.retry_received(now, host, number, call, request);
         }
@@ -39,7 +40,7 @@
             self.counters.rejected += 1;
             return host.reply(call, reply);
         }
-        if self.is_full() {
+        if self.is_full() || request.is_non_idempotent && self.is_run_store_full() {
             return self.reject_call(host, call);
         }
         match self.check_key(now, &request) {
@@ -54,7 +55,12 @@
     }
 
     fn is_full(&self) -> bool {
-        self.requests.len() >= self.limits.max_requests || self.finished.len() >= self.limits.max_finished
+        self.requests.len() >= self.limits.max_requests
+    }
+
+    /// Whether no further run can be remembered, by its idempotency key or its correlation id.
+    fn is_run_store_full(&self) -> bool {
+        self.idempotency_keys.len() + self.runs.len() >= self.limits.max_idempotency_keys
     }
 
     fn find_in_flight(&self, correlation_id: u64) -> Option<RequestNumber> {
@@ -63,14 +69,13 @@
 
     /// Returns the reply to a call for a request that finished recently. `None` if no such request is known.
     fn finished_reply(&self, now: Moment, request: &ExternalRequest) -> Option<CallReply> {
-        let finished = self.finished.get(&request.correlation_id)?;
-        if !self.checks.correlation_ids || finished.until <= now {
-            return None;
-        }
+        let stored = |requests: &FinishedRequests| requests.reply(now, request.correlation_id);
+        let reply = stored(&self.runs).or_else(|| stored(&self.finished));
+        let reply = reply.filter(|_| self.checks.correlation_ids)?;
         // The result of a write is only disclosed to calls whose signed URL is valid, or was valid until it
         // expired.
         let in_use = CallReply::Failed(RefusalReason::CorrelationIdInUse);
-        Some(if may_resume(request) { finished.reply } else { in_use })
+        Some(if may_resume(request) { reply.into() } else { in_use })
     }
 
     /// Reserves the idempotency key of a new request.
@@ -85,7 +90,8 @@
             None => self.assumed_first_run(now, request),
         };
         let number = RequestNumber(self.last_number + 1);
-        match self.idempotency_keys.reserve(key, number, self.limits.max_idempotency_keys) {
+        let max_keys = self.limits.max_idempotency_keys.saturating_sub(self.runs.len());
+        match self.idempotency_keys.reserve(key, number, max_keys) {
             true => KeyCheck::Reserved { first_ran },
             false => KeyCheck::NoCapacity,
         }
--- a/crates/external-requests/src/table/expiry.rs
+++ b/crates/external-requests/src/table/expiry.rs
@@ -44,20 +44,20 @@
     /// Handles all timers that are due. Must be called at the time that [`next_timer`](Self::next_timer)
     /// returns.
     pub fn timer_fired(&mut self, now: Moment, host: &mut impl TableHost) {
-        self.idempotency_keys.remove_expired(now);
+        self.remove_expired(now);
         while let Some((at, timer)) = self.timers.pop_due(now) {
             match timer {
-                Timer::FinishedRequest(correlation_id) => self.remove_finished(correlation_id, at),
                 Timer::Waiter(call) => self.waiter_timed_out(host, call),
                 Timer::Request(number) => self.request_timed_out(now, host, number, at),
             }
         }
     }
 
-    fn remove_finished(&mut self, correlation_id: u64, at: Moment) {
-        if self.finished.get(&correlation_id).is_some_and(|finished| finished.until == at) {
-            self.finished.remove(&correlation_id);
-        }
+    /// Removes what is stored of finished requests and has expired.
+    pub(super) fn remove_expired(&mut self, now: Moment) {
+        self.idempotency_keys.remove_expired(now);
+        self.finished.remove_expired(now);
+        self.runs.remove_expired(now);
     }
 
     fn waiter_timed_out(&mut self, host: &mut impl TableHost, call: CallId) {
--- a/crates/external-requests/src/table/finish.rs
+++ b/crates/external-requests/src/table/finish.rs
@@ -3,7 +3,8 @@
 use tindoor::time::Moment;
 
 use super::ExternalRequestTable;
-use super::request::{FinishedRequest, Request, Timer};
+use super::request::{Request, Timer};
+use crate::finished_requests::FinalReply;
 use crate::idempotency_keys::KeyState;
 use crate::{CallId, CallReply, RefusalReason, RequestNumber, StoredResult, TableHost};
 
@@ -44,20 +45,22 @@
         host.request_finished(number);
     }
 
-    /// Stores the reply to later calls with the same correlation id, for as long as the client may still make
-    /// them.
+    /// Stores the reply to later calls with the same correlation id.
+    ///
+    /// A non-idempotent request that may have run is stored for as long as a client may wait with all its retries,
+    /// as it must not run again. Any other is stored until its deadline, and only while there is room.
     fn store_finished(&mut self, now: Moment, request: &Request, completion: &Completion) {
-        let until = request.deadline.max(now) + self.limits.retry_window;
-        let reply = match (completion.reply, completion.result) {
-            (CallReply::PassThrough, Some(result)) if request.call.idempotency_key.is_some() => {
-                CallReply::Replayed(result)
-            }
-            (CallReply::PassThrough, _) => CallReply::Failed(RefusalReason::CorrelationIdInUse),
-            (reply, _) => reply,
-        };
+        let reply = stored_reply(request, completion);
         let correlation_id = request.call.correlation_id;
-        self.finished.insert(correlation_id, FinishedRequest { reply, until });
-        self.timers.schedule(until, Timer::FinishedRequest(correlation_id));
+        if request.call.is_non_idempotent && request.first_ran.is_some() {
+            let expires_at = now + self.limits.max_request_time + self.limits.retry_window;
+            return self.runs.store(correlation_id, reply, expires_at);
+        }
+        if self.finished.len() >= self.limits.max_finished {
+            self.finished.drop_first();
+        }
+        let expires_at = request.deadline.max(now) + self.limits.retry_window;
+        self.finished.store(correlation_id, reply, expires_at);
     }
 
     fn store_or_release_key(&mut self, now: Moment, request: &Request, result: Option<StoredResult>) {
@@ -86,3 +89,14 @@
         }
     }
 }
+
+/// Returns the reply that later calls with the correlation id of a request get.
+fn stored_reply(request: &Request, completion: &Completion) -> FinalReply {
+    match (completion.reply, completion.result) {
+        (CallReply::Replayed(result), _) => FinalReply::Replayed(result),
+        (CallReply::Rejected(retry_after, reason), _) => FinalReply::Rejected(retry_after, reason),
+        (CallReply::Failed(reason), _) => FinalReply::Failed(reason),
+        (_, Some(result)) if request.call.idempotency_key.is_some() => FinalReply::Replayed(result),
+        _ => FinalReply::Failed(RefusalReason::CorrelationIdInUse),
+    }
+}
--- a/crates/external-requests/src/table/mod.rs
+++ b/crates/external-requests/src/table/mod.rs
@@ -13,10 +13,16 @@
 use tindoor::host::{AttemptStatus, Authorization, Outcome, OutcomeDetail};
 use tindoor::time::Moment;
 
+use crate::finished_requests::FinishedRequests;
 use crate::idempotency_keys::IdempotencyKeys;
 use crate::timers::Timers;
 use crate::{CallId, Counters, EnabledChecks, ExternalRequest, Limits, RequestNumber, TableHost};
-use request::{FinishedRequest, Progress, Request, Timer, Waiter};
+use request::{Progress, Request, Timer, Waiter};
+
+/// What a stored idempotency key occupies, in bytes.
+pub const IDEMPOTENCY_KEY_BYTES: usize = IdempotencyKeys::ENTRY_BYTES;
+/// What a finished request that is stored occupies, in bytes.
+pub const FINISHED_REQUEST_BYTES: usize = FinishedRequests::ENTRY_BYTES;
 
 /// Requests in flight, requests that finished recently, and idempotency keys.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -28,8 +34,10 @@
     requests: BTreeMap<RequestNumber, Request>,
     /// Requests in flight, by correlation id.
     correlation_ids: BTreeMap<u64, RequestNumber>,
-    /// Requests that finished recently, by correlation id.
-    finished: BTreeMap<u64, FinishedRequest>,
+    /// Requests that finished recently and may be forgotten early.
+    finished: FinishedRequests,
+    /// Non-idempotent requests that finished and may have run.
+    runs: FinishedRequests,
     /// The calls of requests in flight.
     calls: BTreeMap<CallId, RequestNumber>,
     /// Calls that wait for the end of another request with the same idempotency key.
@@ -50,7 +58,8 @@
             last_number: 0,
             requests: BTreeMap::new(),
             correlation_ids: BTreeMap::new(),
-            finished: BTreeMap::new(),
+            finished: FinishedRequests::default(),
+            runs: FinishedRequests::default(),
             calls: BTreeMap::new(),
             waiters: BTreeMap::new(),
             idempotency_keys: IdempotencyKeys::default(),
@@ -79,6 +88,12 @@
         })
     }
 
+    /// Returns what the stored idempotency keys and finished requests occupy, in bytes.
+    pub fn stored_bytes(&self) -> usize {
+        let finished = self.finished.len() + self.runs.len();
+        self.idempotency_keys.len() * IDEMPOTENCY_KEY_BYTES + finished * FINISHED_REQUEST_BYTES
+    }
+
     /// Returns the store of idempotency keys.
     pub fn idempotency_keys(&self) -> &IdempotencyKeys {
         &self.idempotency_keys
@@ -86,7 +101,9 @@
 
     /// Returns when [`timer_fired`](Self::timer_fired) must be called next. `None` if no timer is set.
     pub fn next_timer(&self) -> Option<Moment> {
-        self.timers.next().into_iter().chain(self.idempotency_keys.next_expiry()).min()
+        let stores =
+            [self.idempotency_keys.next_expiry(), self.finished.next_expiry(), self.runs.next_expiry()];
+        self.timers.next().into_iter().chain(stores.into_iter().flatten()).min()
     }
 
     /// Sets or clears the timer of a request. Each request has at most one.
--- a/crates/external-requests/src/table/request.rs
+++ b/crates/external-requests/src/table/request.rs
@@ -90,14 +90,6 @@
     matches!(call.authorization, Authorization::Granted | Authorization::Expired)
 }
 
-/// The reply to later calls with the correlation id of a finished request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct FinishedRequest {
-    pub reply: CallReply,
-    /// When the reply is discarded.
-    pub until: Moment,
-}
-
 /// A call that waits for the end of another request with the same idempotency key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Waiter {
@@ -111,7 +103,5 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Timer {
     Request(RequestNumber),
-    /// A finished request, by correlation id.
-    FinishedRequest(u64),
     Waiter(CallId),
 }
--- a/crates/external-requests/src/timers.rs
+++ b/crates/external-requests/src/timers.rs
@@ -29,6 +29,11 @@
         self.0.first().map(|first| first.0)
     }
 
+    /// Removes and returns the first timer, whether it is due or not. `None` if there are no timers.
+    pub fn pop_first(&mut self) -> Option<(Moment, T)> {
+        self.0.pop_first()
+    }
+
     /// Removes and returns the first timer that is due at `now`. `None` if no timer is due.
     pub fn pop_due(&mut self, now: Moment) -> Option<(Moment, T)> {
         let due = self.0.first().is_some_and(|first| first.0 <= now);
--- a/crates/external-requests/tests/model.rs
+++ b/crates/external-requests/tests/model.rs
@@ -255,6 +255,7 @@
             part: 0,
             group: 0,
             idempotency_key: Some(9),
+            is_non_idempotent: false,
             client_retry: false,
             time_remaining: Span::millis(5),
             authorization: Authorization::Granted,
--- a/crates/external-requests/tests/table.rs
+++ b/crates/external-requests/tests/table.rs
@@ -82,6 +82,7 @@
         part: 0,
         group: 3,
         idempotency_key: Some(idempotency_key),
+        is_non_idempotent: false,
         client_retry: false,
         time_remaining: Span::millis(3000),
         authorization: Authorization::Granted,
@@ -539,6 +540,77 @@
     assert_eq!(fixture.attempt_ends().last(), Some(&(1, AttemptStatus::Superseded, false)));
 }
 
+fn order(correlation_id: u64, attempt: u32) -> ExternalRequest {
+    ExternalRequest { is_non_idempotent: true, class: 2, ..read(correlation_id, attempt) }
+}
+
+// Guards against a request that runs twice: one that may have run and is asked for again after its deadline.
+#[test]
+fn a_non_idempotent_request_that_may_have_run_is_remembered_for_the_longest_wait() {
+    let mut fixture = fixture();
+    fixture.call(1, order(5, 1));
+    fixture.decide(1, 0, 2);
+    assert!(fixture.send(1));
+    fixture.end_call(1);
+    fixture.advance(250);
+    for (call, attempt) in [(2, 1), (3, 2)] {
+        fixture.advance(29_000);
+        fixture.call(call, order(5, attempt));
+        assert_eq!(fixture.last_reply(call), CallReply::Failed(RefusalReason::CorrelationIdInUse));
+    }
+    fixture.advance(60_000);
+    assert_eq!(fixture.table.stored_bytes(), 0, "nothing grows with time");
+}
+
+#[test]
+fn a_non_idempotent_request_that_did_not_run_may_be_asked_for_again() {
+    let mut fixture = fixture();
+    fixture.call(1, order(5, 1));
+    fixture.decide(1, 0, 2);
+    fixture.end_call(1);
+    fixture.advance(250);
+    fixture.advance(10_000);
+    fixture.call(2, order(5, 2));
+    assert!(!fixture.host.replies.contains_key(&CallId(2)), "it waits for a decision");
+}
+
+#[test]
+fn no_non_idempotent_request_starts_that_could_not_be_remembered() {
+    let mut fixture = fixture();
+    for id in 1..=4 {
+        fixture.call(id, order(id, 1));
+        fixture.decide(id, 0, 2);
+        assert!(fixture.send(id));
+        fixture.report(id, AttemptStatus::Served);
+    }
+    fixture.call(5, order(5, 1));
+    let no_capacity = CallReply::Rejected(Some(Span::millis(100)), RefusalReason::NoCapacity);
+    assert_eq!(fixture.last_reply(5), no_capacity);
+    fixture.call(6, write(6, 1, 77));
+    assert_eq!(fixture.last_reply(6), no_capacity, "keys and ids share their room");
+    fixture.call(7, read(7, 1));
+    assert!(!fixture.host.replies.contains_key(&CallId(7)), "a read needs no room there");
+    fixture.call(8, order(1, 2));
+    assert_eq!(fixture.last_reply(8), CallReply::Failed(RefusalReason::CorrelationIdInUse));
+}
+
+// Guards against calls that are refused for many seconds: one proxy that asks under ever new ids at full speed.
+#[test]
+fn finished_requests_under_ever_new_ids_keep_no_other_request_out() {
+    let mut fixture = fixture();
+    for id in 1..=100 {
+        fixture.call(id, read(id, 1));
+        fixture.decide(id, 0, 2);
+        assert!(fixture.send(id));
+        fixture.report(id, AttemptStatus::Served);
+    }
+    assert!(fixture.table.stored_bytes() <= LIMITS.max_finished * FINISHED_REQUEST_BYTES);
+    fixture.call(101, read(100, 2));
+    assert_eq!(fixture.last_reply(101), CallReply::Failed(RefusalReason::CorrelationIdInUse));
+    fixture.call(102, read(200, 1));
+    assert!(!fixture.host.replies.contains_key(&CallId(102)), "it waits for a decision");
+}
+
 #[test]
 fn a_shutdown_sends_one_final_reply_to_every_open_call() {
     let mut fixture = fixture();
--- a/crates/extproc/src/request.rs
+++ b/crates/extproc/src/request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tindoor::host::{AttemptStatus, Authorization, Outcome, OutcomeDetail};
+use tindoor::settings::Idempotency;
 use tindoor::time::Span;
 use tindoor_external_requests::{ExternalRequest, Report, StoredResult};
 use xxhash_rust::xxh3::xxh3_64;
@@ -26,12 +27,19 @@
 pub struct RequestClass {
     /// The name of the class in paths.
     pub name: String,
-    /// Whether requests of the class must have an idempotency key.
-    pub requires_idempotency_key: bool,
+    /// Whether requests of the class may run again.
+    pub idempotency: Idempotency,
     /// How long the client waits if the request does not state it.
     pub default_deadline: Duration,
 }
 
+impl RequestClass {
+    /// Returns whether requests of the class must have an idempotency key.
+    pub fn requires_idempotency_key(&self) -> bool {
+        self.idempotency == Idempotency::WithKey
+    }
+}
+
 /// Reads a request from its headers. An error names the header at fault.
 pub fn read_request(
     headers: &Headers,
@@ -44,6 +52,7 @@
         correlation_id: read_correlation_id(headers, names)?,
         time_remaining: read_time_remaining(headers, names, class)?,
         idempotency_key: read_idempotency_key(headers, names, class)?,
+        is_non_idempotent: class.idempotency == Idempotency::NonIdempotent,
         client_retry: read_client_retry(headers, names)?,
         attempt: headers.number(&names.attempt, [1, MAX_ATTEMPT])?.unwrap_or(1) as u32,
         class: target.class as u16,
@@ -122,9 +131,9 @@
     match headers.text(&names.idempotency_key)? {
         Some(text) => {
             let key = parse_hex(text, IDEMPOTENCY_KEY_DIGITS).ok_or_else(|| error("not 32 hex digits"))?;
-            Ok(Some(key).filter(|_| class.requires_idempotency_key))
+            Ok(Some(key).filter(|_| class.requires_idempotency_key()))
         }
-        None if class.requires_idempotency_key => Err(error("missing")),
+        None if class.requires_idempotency_key() => Err(error("missing")),
         None => Ok(None),
     }
 }
--- a/crates/extproc/tests/golden.rs
+++ b/crates/extproc/tests/golden.rs
@@ -11,6 +11,7 @@
 use bytes::BytesMut;
 use golden::Recording;
 use tindoor::host::{AttemptStatus, Authorization, EndpointId, FillDirectives, OutcomeDetail};
+use tindoor::settings::Idempotency;
 use tindoor::time::Span;
 use tindoor_external_requests::{
     CallReply, ExternalRequest, RefusalReason, Report, RoutingDecision, StoredResult,
@@ -65,11 +66,11 @@
 const KEY: (&str, &str) = ("x-nonce", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
 
 fn classes() -> Vec<RequestClass> {
-    let class = |name: &str, requires_idempotency_key, seconds| {
+    let class = |name: &str, idempotency, seconds| {
         let default_deadline = Duration::from_secs(seconds);
-        RequestClass { name: name.into(), requires_idempotency_key, default_deadline }
+        RequestClass { name: name.into(), idempotency, default_deadline }
     };
-    vec![class("pages", false, 3), class("saves", true, 5)]
+    vec![class("pages", Idempotency::Idempotent, 3), class("saves", Idempotency::WithKey, 5)]
 }
 
 fn headers<'a>(pairs: Pairs<'a>) -> Headers<'a> {
@@ -231,10 +232,12 @@
         part,
         group,
         idempotency_key,
+        is_non_idempotent,
         client_retry,
         time_remaining,
         authorization,
     } = *call;
+    assert!(!is_non_idempotent, "no class of the recording is");
     let authorization = match authorization {
         Authorization::Granted => "free",
         Authorization::NotYetValid(_) => "early",
--- a/crates/extproc/tests/headers.rs
+++ b/crates/extproc/tests/headers.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 use prost::Message;
 use tindoor::host::{AttemptStatus, EndpointId, FillDirectives, OutcomeDetail};
+use tindoor::settings::Idempotency;
 use tindoor::time::Span;
 use tindoor_external_requests::{CallReply, RefusalReason, RoutingDecision, StoredResult};
 use tindoor_extproc::frames::{self, FrameError};
@@ -15,12 +16,12 @@
 use tindoor_extproc::response::{self, FinalResponse, HeaderField};
 
 fn classes() -> Vec<RequestClass> {
-    let class = |name: &str, requires_idempotency_key| RequestClass {
+    let class = |name: &str, idempotency| RequestClass {
         name: name.into(),
-        requires_idempotency_key,
+        idempotency,
         default_deadline: Duration::from_secs(3),
     };
-    vec![class("pages", false), class("saves", true)]
+    vec![class("pages", Idempotency::Idempotent), class("saves", Idempotency::WithKey)]
 }
 
 fn read_request(fields: &[(&str, &str)]) -> Result<tindoor_external_requests::ExternalRequest, HeaderError> {
--- a/crates/router/src/configuration/request_classes.rs
+++ b/crates/router/src/configuration/request_classes.rs
@@ -2,28 +2,35 @@
 
 use std::time::Duration;
 
+use tindoor::settings::Idempotency;
 use tindoor_extproc::request::RequestClass;
 
 use super::ConfigurationError;
 use super::section::{List, Section};
 
-/// The possible values of `effect`: no side effects, side effects that an idempotency key prevents from being
-/// repeated, or side effects that must not be repeated.
-const EFFECTS: [&str; 3] = ["read_like", KEYED_EFFECT, "non_idempotent"];
-const KEYED_EFFECT: &str = "idempotency_key";
+/// The value of `effect` of a class without side effects.
+const READ_LIKE: &str = "read_like";
+/// The value of `effect` of a class whose side effects an idempotency key prevents from being repeated.
+const KEYED: &str = "idempotency_key";
+/// The value of `effect` of a class whose side effects must not be repeated.
+const NON_IDEMPOTENT: &str = "non_idempotent";
 
 fn parse_request_class(section: &Section) -> Result<RequestClass, ConfigurationError> {
     section.number("objective", 1..=u64::MAX)?;
     let default_deadline = Duration::from_micros(section.number("deadline", 1..=u64::MAX)?);
     let effect = section.text("effect")?;
-    if !EFFECTS.contains(&effect) {
-        return Err(ConfigurationError::new(
-            section.path_of("effect"),
-            format!("expected one of {EFFECTS:?}, found {effect:?}"),
-        ));
-    }
-    let requires_idempotency_key = effect == KEYED_EFFECT;
-    Ok(RequestClass { name: section.text("name")?.to_string(), requires_idempotency_key, default_deadline })
+    let idempotency = match effect {
+        READ_LIKE => Idempotency::Idempotent,
+        KEYED => Idempotency::WithKey,
+        NON_IDEMPOTENT => Idempotency::NonIdempotent,
+        _ => {
+            let expected = [READ_LIKE, KEYED, NON_IDEMPOTENT];
+            let message = format!("expected one of {expected:?}, found {effect:?}");
+            return Err(ConfigurationError::new(section.path_of("effect"), message));
+        }
+    };
+    let name = section.text("name")?.to_string();
+    Ok(RequestClass { name, idempotency, default_deadline })
 }
 
 /// Parses the list of request classes. The list must not be empty.
--- a/crates/router/src/downstream/request_fields.rs
+++ b/crates/router/src/downstream/request_fields.rs
@@ -110,7 +110,7 @@
     let class = classes.iter().position(|class| class.name == class_name);
     let class = class.ok_or(InvalidField(wire_name::CLASS))?;
     let idempotency_key = reader.optional_hex(wire_name::IDEMPOTENCY_KEY, IDEMPOTENCY_KEY_LENGTH)?;
-    if idempotency_key.is_none() && classes[class].requires_idempotency_key {
+    if idempotency_key.is_none() && classes[class].requires_idempotency_key() {
         return Err(InvalidField(wire_name::IDEMPOTENCY_KEY));
     }
     let client_tag = reader.optional_hex(wire_name::CLIENT_TAG, CLIENT_TAG_LENGTH)?;
--- a/crates/router/tests/external_processing.rs
+++ b/crates/router/tests/external_processing.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use serde_json::{Value, json};
 use tindoor_testbed::external_processing::{self, Plan};
 use tindoor_testbed::figures::Figures;
@@ -231,6 +232,40 @@
     assert_eq!(header(&further, "x-tindoor-address"), None, "after {reply}: {further}");
 }
 
+// Guards against a request that runs twice: the first decision of a non-idempotent request was used and not reported,
+// and its id is asked for again after the request's deadline.
+#[test]
+fn a_non_idempotent_request_that_may_have_run_is_given_no_second_decision() {
+    let fixture = fixture();
+    let path = format!("/v1/store/orders/{OBJECT}/0");
+    let mut client = PlainCallClient::connect(fixture.router.front("call"));
+    let decision = client.request(&plain_call(&path, "00000000000000e1", 1, ""));
+    assert!(header(&decision, "x-tindoor-address").is_some(), "{decision}");
+    // The deadline of 3 s, the time to use the decision, and the times for a report and for a further call.
+    std::thread::sleep(Duration::from_millis(4200));
+    for attempt in [1, 2] {
+        let further = client.request(&plain_call(&path, "00000000000000e1", attempt, ""));
+        assert_eq!(header(&further, "x-tindoor-address"), None, "{further}");
+    }
+    let other = client.request(&plain_call(&path, "00000000000000e2", 1, ""));
+    assert!(header(&other, "x-tindoor-address").is_some(), "another request is served: {other}");
+}
+
+// Guards against a request that runs twice: the same over gRPC, where the proxy leaves after its decision.
+#[test]
+fn a_non_idempotent_request_of_a_proxy_that_left_is_given_no_second_decision() {
+    let fixture = fixture();
+    let front = fixture.router.front("external_processing");
+    let path = format!("/v1/store/orders/{OBJECT}/0");
+    let call = |attempt: &str| {
+        let message = peer::request_headers(0xf1, &[(":path", &path), ("x-envoy-attempt-count", attempt)]);
+        peer::call(front, PROCESS, "application/grpc", vec![message, Bytes::new()])
+    };
+    assert_eq!(call("1").messages, ["request_headers"]);
+    std::thread::sleep(Duration::from_millis(4200));
+    assert_eq!(call("2").messages, ["immediate 502"]);
+}
+
 #[test]
 fn an_invalid_request_is_refused_with_status_400_and_the_name_of_the_invalid_header() {
     let fixture = fixture();
