Give up an empty buffer that shares the message before, keep room for proven senders

Callers would see: memory over the limit with gRPC messages of many short fields (33 MB in untrusted_peers::messages_of_many_short_fields_stay_within_memory, for 24,000 KB).

Cause: a buffer from which a message was split has no capacity and still shares its allocation; complete() kept it on each open stream. Streams of proxies that had made calls were refused like those of a flood while evicted streams had not ended.

Change: an empty buffer is always replaced; the last eighth of the bytes for incomplete messages is for connections that have sent a complete one.

--- a/crates/router/src/memory/incoming.rs
+++ b/crates/router/src/memory/incoming.rs
@@ -126,7 +126,7 @@
         self.holders.borrow_mut().insert(charge.order, Rc::clone(holder));
         self.used_bytes.set(self.used_bytes.get() + charge.bytes());
         self.evict_surplus();
-        if self.used_bytes.get() > self.max_bytes && !holder.is_evicted.get() {
+        if self.used_bytes.get() > self.max_bytes_of(charge.order.standing) && !holder.is_evicted.get() {
             self.evict(holder);
         }
         self.peak_bytes.set(self.peak_bytes.get().max(self.used_bytes.get()));
@@ -139,6 +139,15 @@
         }
     }
 
+    /// Returns how many bytes may be charged when a message of this standing arrives. The last eighth is for
+    /// connections that have sent a complete message, so that others can't keep theirs out.
+    fn max_bytes_of(&self, standing: Standing) -> usize {
+        match standing {
+            Standing::Unproven => self.max_bytes / 8 * 7,
+            Standing::Proven => self.max_bytes,
+        }
+    }
+
     /// Evicts messages until the rest holds at most three quarters of the bytes.
     fn evict_surplus(&self) {
         let max_staying = self.max_bytes / 4 * 3;
@@ -300,7 +309,8 @@
         self.account.release(&self.holder);
         self.incomplete_since.set(None);
         let mut buffer = self.holder.buffer.borrow_mut();
-        if buffer.is_empty() && buffer.capacity() > 0 {
+        if buffer.is_empty() {
+            // Even without capacity it may share the allocation of the message that was taken.
             *buffer = BytesMut::new();
         }
     }
