Keep one proxy's connection from filling the table of calls

Cause: requests in flight were bounded in all and not for a connection; they, the stored keys and finished requests were charged to no account, with bounds whatever memory_mb.

Change: the last quarter of requests and memory is for connections that hold less than an eighth. Requests in flight and what is stored are charged to the account of complete messages; the stores' bounds follow from memory_mb.

--- a/crates/router/src/configuration/limits.rs
+++ b/crates/router/src/configuration/limits.rs
@@ -4,7 +4,7 @@
 
 use tindoor::time::Span;
 use tindoor_discovery::ScheduleLimits;
-use tindoor_external_requests::Limits as TableLimits;
+use tindoor_external_requests::{FINISHED_REQUEST_BYTES, IDEMPOTENCY_KEY_BYTES, Limits as TableLimits};
 
 /// The minimum number of file descriptors reserved for the listener, the connections of the watch, signals,
 /// timers, logs, a connection that waits for room, and the configuration file.
@@ -30,6 +30,12 @@
 const COMPLETE_MESSAGES_DIVISOR: usize = 2;
 /// One in this many bytes of the memory is for messages that are still incomplete.
 const INCOMPLETE_MESSAGES_DIVISOR: usize = 8;
+/// One in this many bytes of the memory is for stored idempotency keys, at most; it is charged to complete messages.
+const IDEMPOTENCY_KEYS_DIVISOR: usize = 6;
+/// One in this many bytes of the memory is for finished requests of proxies, at most; charged likewise.
+const FINISHED_REQUESTS_DIVISOR: usize = 16;
+/// The maximum number of stored idempotency keys, and of finished requests, whatever the memory.
+const MAX_STORED_REQUESTS: usize = 1 << 17;
 /// One in this many bytes of the memory is for rejections and health replies that wait to be written.
 const UNWRITTEN_REPLIES_DIVISOR: usize = 32;
 /// What a rejection or health reply occupies until it is written, in bytes.
@@ -276,7 +282,8 @@
     pub report_timeout: Duration,
     /// How long a request is kept for the proxy's next call after an attempt has ended.
     pub retry_timeout: Duration,
-    /// The maximum number of idempotency keys that are remembered.
+    /// The maximum number of idempotency keys, and of ids of non-idempotent requests that may have run, that are
+    /// remembered.
     pub max_idempotency_keys: usize,
     /// The maximum number of correlation ids of finished requests that are remembered.
     pub max_finished_requests: usize,
@@ -307,7 +314,7 @@
                 final_write_timeout,
             },
             proxy: ProxyLimits::new(client_connections, max_request_timeout),
-            external: ExternalRequestLimits::new(),
+            external: ExternalRequestLimits::new(memory),
             peer: PeerLimits::new(inputs.descriptors),
         }
     }
@@ -458,13 +465,15 @@
 }
 
 impl ExternalRequestLimits {
-    fn new() -> Self {
+    fn new(memory: usize) -> Self {
         Self {
             decision_timeout: Duration::from_millis(200),
             report_timeout: Duration::from_millis(250),
             retry_timeout: Duration::from_millis(250),
-            max_idempotency_keys: 1 << 17,
-            max_finished_requests: 1 << 17,
+            max_idempotency_keys: (memory / IDEMPOTENCY_KEYS_DIVISOR / IDEMPOTENCY_KEY_BYTES)
+                .min(MAX_STORED_REQUESTS),
+            max_finished_requests: (memory / FINISHED_REQUESTS_DIVISOR / FINISHED_REQUEST_BYTES)
+                .min(MAX_STORED_REQUESTS),
             max_waiters_per_key: 8,
         }
     }
--- a/crates/router/src/external/call.rs
+++ b/crates/router/src/external/call.rs
@@ -6,6 +6,7 @@
 use tindoor_request_runtime::Mailbox;
 
 use super::ExternalProcessing;
+use super::request_counter::RequestCounter;
 
 /// A proxy's call. Dropping it ends the call, unless `outlives_connection` is set.
 pub struct Call {
@@ -16,6 +17,8 @@
     /// Whether the call continues after this value is dropped, because its report arrives as a separate
     /// request.
     pub outlives_connection: bool,
+    /// The requests in flight that began on the call's connection.
+    pub connection_requests: RequestCounter,
 }
 
 impl Drop for Call {
--- a/crates/router/src/external/connection.rs
+++ b/crates/router/src/external/connection.rs
@@ -11,6 +11,7 @@
 use async_io::Async;
 use socket2::SockRef;
 
+use super::request_counter::RequestCounter;
 use crate::configuration::limits::ProxyLimits;
 use crate::connections::{
     ConnectionState, ManagedConnection, Phase, discard_until_closed, half_close, half_close_unless_unread,
@@ -39,6 +40,8 @@
     state: ConnectionState,
     close_method: CloseMethod,
     open_calls: Cell<usize>,
+    /// The requests in flight that began on the connection.
+    pub requests: RequestCounter,
     /// Whether the first message of a call has ever arrived completely.
     has_begun_call: Cell<bool>,
     /// Whether the HTTP/2 library has read since other tasks last ran.
@@ -57,6 +60,7 @@
             state: ConnectionState::default(),
             close_method,
             open_calls: Cell::new(0),
+            requests: RequestCounter::default(),
             has_begun_call: Cell::new(false),
             has_read_in_turn: Cell::new(false),
             is_finish_requested: Cell::new(false),
--- a/crates/router/src/external/grpc/exchange.rs
+++ b/crates/router/src/external/grpc/exchange.rs
@@ -50,7 +50,7 @@
         let refusal = final_response_to_request(&rejected, request.refusal_reason.as_deref());
         return stream.send(&response::immediate(refusal)).await;
     };
-    let call = router.external.open_call();
+    let call = router.external.open_call(stream.proxy());
     router.external.call_received(&call, request.request);
     if let Some(decision) = send_decision(router, stream, &call, request).await? {
         receive_report(router, stream, &call, &decision).await?;
--- a/crates/router/src/external/grpc/stream.rs
+++ b/crates/router/src/external/grpc/stream.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Returns the connection of the stream.
+    pub fn proxy(&self) -> &'a ProxyConnection {
+        self.proxy
+    }
+
     /// Returns whether the stream was ended to free memory.
     pub fn is_evicted(&self) -> bool {
         self.received.is_evicted()
--- a/crates/router/src/external/http/mod.rs
+++ b/crates/router/src/external/http/mod.rs
@@ -187,7 +187,7 @@
                 return self.respond(&bad_request(error.to_string()), head.closes_connection).await;
             }
         };
-        let mut call = router.external.open_call();
+        let mut call = router.external.open_call(&self.proxy);
         router.external.call_received(&call, request.request);
         loop {
             let reply = self.next_reply(&call).await?;
@@ -222,7 +222,7 @@
                 return self.respond(&bad_request(error.to_string()), head.closes_connection).await;
             }
         };
-        let call = router.external.open_call();
+        let call = router.external.open_call(&self.proxy);
         let is_attached = router.external.report_on_earlier_call(&call, lease, correlation_id, report);
         let reply = self.next_reply(&call).await;
         // Only if the mailbox was attached: a report with a guessed lease must not detach another call's
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -8,6 +8,7 @@
 mod grpc;
 mod http;
 mod request;
+mod request_counter;
 mod table_host;
 mod target;
 
@@ -26,7 +27,11 @@
 pub use grpc::GrpcHandler;
 pub use http::PlainHandler;
 
+use crate::configuration::limits::Limits as RouterLimits;
+use crate::memory::{MemoryAccount, MemoryReservation};
 use call::Call;
+use connection::ProxyConnection;
+use request_counter::RequestCounter;
 use table_host::{Host, InFlight};
 
 /// Returns the routing decision of an attempt; `now` is the current time.
@@ -49,6 +54,11 @@
     ids: InFlightIds,
     /// The maximum number of requests in flight at once, over all fronts.
     max_requests: usize,
+    memory: Rc<MemoryAccount>,
+    /// What one request in flight occupies, in bytes.
+    call_bytes: usize,
+    /// The memory of the table's stored keys and finished requests, which have limits of their own.
+    stored: MemoryReservation,
     table: RefCell<ExternalRequestTable>,
     in_flight: RefCell<InFlight>,
     timer: WakeTimer,
@@ -60,15 +70,19 @@
         executor: Rc<LocalExecutor<'static>>,
         engine: Rc<EngineHandle>,
         ids: InFlightIds,
-        max_requests: usize,
-        limits: Limits,
+        memory: &Rc<MemoryAccount>,
+        limits: &RouterLimits,
+        table_limits: Limits,
     ) -> Rc<Self> {
-        let table = ExternalRequestTable::new(limits, checks::enabled(), engine.clock.now());
+        let table = ExternalRequestTable::new(table_limits, checks::enabled(), engine.clock.now());
         Rc::new(Self {
             executor,
             engine,
             ids,
-            max_requests,
+            max_requests: limits.max_open_requests,
+            memory: Rc::clone(memory),
+            call_bytes: limits.memory.call_bytes,
+            stored: memory.complete.reserve(0).expect("nothing is free at any time"),
             table: RefCell::new(table),
             in_flight: RefCell::default(),
             timer: WakeTimer::default(),
@@ -78,20 +92,48 @@
     /// Applies an event to the table at the current time, and sets the timer for the table's next timeout.
     /// Does not await anything.
     fn apply<T>(self: &Rc<Self>, event: impl FnOnce(&mut ExternalRequestTable, Moment, &mut Host) -> T) -> T {
+        self.apply_from(None, event)
+    }
+
+    /// Like [`apply`](Self::apply). A request that starts counts as one of the connection of these requests.
+    fn apply_from<T>(
+        self: &Rc<Self>,
+        connection_requests: Option<&RequestCounter>,
+        event: impl FnOnce(&mut ExternalRequestTable, Moment, &mut Host) -> T,
+    ) -> T {
         let mut table = self.table.borrow_mut();
         let mut in_flight = self.in_flight.borrow_mut();
         let now = self.engine.clock.now();
-        let result = event(&mut table, now, &mut Host { external: self, in_flight: &mut in_flight });
+        let mut host = Host { external: self, in_flight: &mut in_flight, connection_requests };
+        let result = event(&mut table, now, &mut host);
+        self.stored.resize(table.stored_bytes());
         if let Some(next) = table.next_timer() {
             self.timer.set(Instant::now() + Duration::from_micros(next.since(now).as_micros()));
         }
         result
     }
 
-    /// Opens a call of a proxy.
-    fn open_call(self: &Rc<Self>) -> Call {
+    /// Opens a call on a connection of a proxy.
+    fn open_call(self: &Rc<Self>, proxy: &ProxyConnection) -> Call {
         let (id, replies) = self.in_flight.borrow_mut().add_call();
-        Call { external: Rc::clone(self), id, replies, outlives_connection: false }
+        let connection_requests = proxy.requests.clone();
+        Call { external: Rc::clone(self), id, replies, outlives_connection: false, connection_requests }
+    }
+
+    /// Whether there is room for a further request that begins on the call's connection.
+    ///
+    /// The last quarter of the requests and of the memory is for connections that hold little of them, so that one
+    /// connection can't keep the others out.
+    fn has_room(&self, call: &Call) -> bool {
+        let (free_bytes, max_bytes) = (self.memory.complete.free_bytes(), self.memory.complete.max_bytes());
+        if !self.engine.has_capacity(self.max_requests) || free_bytes < self.call_bytes {
+            return false;
+        }
+        let used_requests = self.engine.open_requests();
+        let is_nearly_full = used_requests >= self.max_requests / 4 * 3 || free_bytes < max_bytes / 4;
+        let requests = call.connection_requests.get();
+        let holds_little = requests < self.max_requests / 8 && requests * self.call_bytes < max_bytes / 8;
+        !is_nearly_full || holds_little
     }
 
     /// Handles a proxy's request for a routing decision. The replies arrive in the call's mailbox.
@@ -99,16 +141,17 @@
         let ExternalRequest { correlation_id, attempt, .. } = request;
         tracing::debug!(call = call.id.0, correlation_id, attempt, "external request received");
         let is_known = self.table.borrow().contains(correlation_id);
-        let is_full = !self.engine.has_capacity(self.max_requests);
         // A correlation id identifies one request at a time across all fronts.
         if !is_known && self.ids.contains(correlation_id) {
             return call.replies.replace(CallReply::Failed(RefusalReason::CorrelationIdInUse));
         }
-        if !is_known && is_full {
+        if !is_known && !self.has_room(call) {
             let retry_after = self.engine.retry_after();
             return call.replies.replace(CallReply::Rejected(retry_after, RefusalReason::NoCapacity));
         }
-        self.apply(|table, now, host| table.call_received(now, host, call.id, request));
+        self.apply_from(Some(&call.connection_requests), |table, now, host| {
+            table.call_received(now, host, call.id, request);
+        });
     }
 
     /// Marks a reply as sent, immediately before it is sent. Returns false if the reply was withdrawn and
--- a/crates/router/src/external/table_host.rs
+++ b/crates/router/src/external/table_host.rs
@@ -10,6 +10,8 @@
 use tindoor_request_runtime::{Action, AdmittedRequest, Attempt, InFlightId, Mailbox};
 
 use super::ExternalProcessing;
+use super::request_counter::{CountedRequest, RequestCounter};
+use crate::memory::MemoryReservation;
 
 /// The requests in flight and the open calls.
 #[derive(Default)]
@@ -28,6 +30,8 @@
     /// counted.
     admitted: Option<AdmittedRequest>,
     _id: Option<InFlightId>,
+    _memory: Option<MemoryReservation>,
+    _counted: Option<CountedRequest>,
     /// Carries out the routing engine's actions for the request until this task is dropped.
     _actor: Task<()>,
 }
@@ -65,6 +69,8 @@
 pub struct Host<'a> {
     pub external: &'a Rc<ExternalProcessing>,
     pub in_flight: &'a mut InFlight,
+    /// Counts the requests of the connection whose call is handled. `None` for other events.
+    pub connection_requests: Option<&'a RequestCounter>,
 }
 
 impl TableHost for Host<'_> {
@@ -78,15 +84,23 @@
         let (slot, mailbox) = external.engine.open_request();
         let admitted = external.engine.admit(slot, request_meta(request, first_ran), request.time_remaining);
         let id = external.ids.reserve(request.correlation_id);
-        let actions = Rc::clone(&mailbox);
-        let actor = self.external.executor.spawn(async move {
+        let (actions, acting) = (Rc::clone(&mailbox), Rc::clone(&external));
+        let actor = external.executor.spawn(async move {
             loop {
                 let action = actions.next().await;
-                external.act(number, action);
+                acting.act(number, action);
             }
         });
-        let attempts = Vec::new();
-        let request = InFlightRequest { slot, mailbox, attempts, admitted, _id: id, _actor: actor };
+        let request = InFlightRequest {
+            slot,
+            mailbox,
+            attempts: Vec::new(),
+            admitted,
+            _id: id,
+            _memory: external.memory.complete.reserve(external.call_bytes),
+            _counted: self.connection_requests.map(RequestCounter::count),
+            _actor: actor,
+        };
         self.in_flight.requests.insert(number, request);
     }
 
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -37,11 +37,13 @@
     fastrand::seed(configuration.seed);
     let engine = Rc::new(EngineHandle::start(configuration.engine_settings.clone(), configuration.seed));
     let in_flight_ids = InFlightIds::default();
+    let memory = MemoryAccount::new(&limits.memory);
     let external = ExternalProcessing::new(
         Rc::clone(executor),
         Rc::clone(&engine),
         in_flight_ids.clone(),
-        limits.max_open_requests,
+        &memory,
+        &limits,
         limits.external_request_limits(configuration.grace, configuration.idempotency_window),
     );
     let signed_urls = match fronts.signed_urls.take() {
@@ -51,7 +53,6 @@
         None => None,
     };
     let listeners = Rc::<ListenerRegistry>::default();
-    let memory = MemoryAccount::new(&limits.memory);
     let shared = SharedParts { executor, engine: &engine, listeners: &listeners, memory: &memory };
     let fleet = start_fleet(&shared, configuration, &limits, fronts)?;
     let state = Rc::new(RouterState {
