Begin the numbers of calls at random, so that a lease names one process

Cause: x-tindoor-lease is the number of a call, counted from 1 in each process.

Change: the numbers of a process begin at a random one, from the system.

Measured: the new test failed with the program before (both leases were 1) and passes.

--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use anyhow::{Context, Result};
 use async_executor::LocalExecutor;
 use tindoor::time::{Moment, Span};
 use tindoor_external_requests::{
@@ -47,6 +48,13 @@
     }
 }
 
+/// Returns a random number after which the ids of this process's calls begin: a report on a decision of an earlier
+/// process must not be taken for one on a decision of this one.
+fn first_call_id() -> Result<u64> {
+    let random = getrandom::u64().context("can't read a random number from the system")?;
+    Ok(random / 2)
+}
+
 /// The externally processed requests of this router.
 pub struct ExternalProcessing {
     executor: Rc<LocalExecutor<'static>>,
@@ -73,9 +81,9 @@
         memory: &Rc<MemoryAccount>,
         limits: &RouterLimits,
         table_limits: Limits,
-    ) -> Rc<Self> {
+    ) -> Result<Rc<Self>> {
         let table = ExternalRequestTable::new(table_limits, checks::enabled(), engine.clock.now());
-        Rc::new(Self {
+        Ok(Rc::new(Self {
             executor,
             engine,
             ids,
@@ -84,9 +92,9 @@
             call_bytes: limits.memory.call_bytes,
             stored: memory.complete.reserve(0).expect("nothing is free at any time"),
             table: RefCell::new(table),
-            in_flight: RefCell::default(),
+            in_flight: RefCell::new(InFlight::new(first_call_id()?)),
             timer: WakeTimer::default(),
-        })
+        }))
     }
 
     /// Applies an event to the table at the current time, and sets the timer for the table's next timeout.
--- a/crates/router/src/external/table_host.rs
+++ b/crates/router/src/external/table_host.rs
@@ -37,6 +37,11 @@
 }
 
 impl InFlight {
+    /// Creates an instance without requests, whose calls have ids after `last_call`.
+    pub fn new(last_call: u64) -> Self {
+        Self { last_call, ..Self::default() }
+    }
+
     /// Adds a call, and returns its id and the mailbox for its replies.
     pub fn add_call(&mut self) -> (CallId, Rc<Mailbox<CallReply>>) {
         self.last_call += 1;
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -45,7 +45,7 @@
         &memory,
         &limits,
         limits.external_request_limits(configuration.grace, configuration.idempotency_window),
-    );
+    )?;
     let signed_urls = match fronts.signed_urls.take() {
         Some(settings) => {
             Some(SignedUrls::start(settings, &configuration.classes, configuration.seed).context("fronts")?)
--- a/crates/router/tests/external_processing.rs
+++ b/crates/router/tests/external_processing.rs
@@ -266,6 +266,27 @@
     assert_eq!(call("2").messages, ["immediate 502"]);
 }
 
+// Guards against a report that is taken for another process's: a router that comes up where another has ended.
+#[test]
+fn a_report_on_a_decision_of_an_earlier_process_is_refused() {
+    let call = plain_call(&format!("/v1/store/pages/{OBJECT}/3"), "00000000000000a7", 1, "");
+    let first_lease = |fixture: &Fixture| {
+        let mut client = PlainCallClient::connect(fixture.router.front("call"));
+        let decision = client.request(&call);
+        header(&decision, "x-tindoor-lease").unwrap().to_string()
+    };
+    let mut earlier = fixture();
+    let earlier_lease = first_lease(&earlier);
+    earlier.router.kill();
+    let later = fixture();
+    let lease = first_lease(&later);
+    assert_ne!(lease, earlier_lease);
+    let names = format!("x-ticket: 00000000000000a7\r\nx-tindoor-lease: {earlier_lease}");
+    let report = format!("POST /report HTTP/1.1\r\n{names}\r\nx-status: 200\r\n\r\n");
+    let refused = PlainCallClient::connect(later.router.front("call")).request(&report);
+    assert_eq!(header(&refused, "x-tindoor-reason"), Some("no-choice"), "{refused}");
+}
+
 #[test]
 fn an_invalid_request_is_refused_with_status_400_and_the_name_of_the_invalid_header() {
     let fixture = fixture();
