Know a cache by the time of its start, not by its address alone

Cause: the table of endpoints compared state and address; the engine alone compared the start.

Change: the time of start is part of what the list says of an endpoint. A change closes idle connections, outdates decisions made before and withdraws those that proxies were not sent; a change of address withdraws them, too.

Measured: upstream::a_restarted_endpoint_gets_new_connections failed with the program before (no connection closed in 60 s) and passes.

--- a/crates/router/src/discovery/apply.rs
+++ b/crates/router/src/discovery/apply.rs
@@ -5,6 +5,7 @@
 use tindoor_request_runtime::Clock;
 
 use crate::state::RouterState;
+use crate::upstream::ListedEndpoint;
 
 /// The index that stands for an unknown location or kind in the routing engine.
 const UNKNOWN_INDEX: u8 = u8::MAX;
@@ -31,9 +32,11 @@
     }
     let kind = if list.complete { ListUpdateKind::Full } else { ListUpdateKind::Delta };
     state.engine.with(|engine| engine.endpoints_changed(kind, &updates));
-    let is_ready = |endpoint| state.endpoints.is_ready(endpoint);
+    // A decision for another address or process is as stale as one for an endpoint that is not ready.
+    let changed = state.endpoints.take_changed();
+    let is_stale = |endpoint| !state.endpoints.is_ready(endpoint) || changed.contains(&endpoint);
     state.external.withdraw_stale_decisions(|_, decision| {
-        !is_ready(decision.endpoint) || decision.source().is_some_and(|source| !is_ready(source))
+        is_stale(decision.endpoint) || decision.source().is_some_and(is_stale)
     });
 }
 
@@ -50,7 +53,8 @@
         );
     }
     let is_referenced = |endpoint: EndpointId| state.engine.is_referenced(endpoint);
-    let endpoint = state.endpoints.apply_update(&entry.id, address, endpoint_state, is_referenced)?;
+    let listed = ListedEndpoint { address, started_unix_ms: entry.started_unix_ms, state: endpoint_state };
+    let endpoint = state.endpoints.apply_update(&entry.id, listed, is_referenced)?;
     let started = Some(entry.started_unix_ms).filter(|unix_ms| *unix_ms > 0);
     Some(EndpointUpdate {
         endpoint,
--- a/crates/router/src/upstream/endpoint_table.rs
+++ b/crates/router/src/upstream/endpoint_table.rs
@@ -14,11 +14,14 @@
     pub name: String,
     /// Where it listens; `None` if its list entry has no valid address.
     pub address: Option<SocketAddr>,
+    /// When its process started, in Unix milliseconds; 0 if unknown. Another process at the same address, or under
+    /// the same name, has another time.
+    started_unix_ms: u64,
     /// Whether it is ready, draining or removed.
     pub state: EndpointState,
     /// When its state or address last changed.
     changed: Instant,
-    /// The number of changes of state, address and name under this id. It continues when the id is reused for
+    /// The number of changes of state, address, process and name under this id. It continues when the id is reused for
     /// another endpoint.
     pub generation: u64,
     /// Its idle connections, the most recently used one last.
@@ -35,12 +38,25 @@
     }
 }
 
+/// What the endpoint list says of one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListedEndpoint {
+    /// Where it listens; `None` if its entry has no valid address.
+    pub address: Option<SocketAddr>,
+    /// When its process started, in Unix milliseconds; 0 if unknown.
+    pub started_unix_ms: u64,
+    /// Whether it is ready, draining or removed.
+    pub state: EndpointState,
+}
+
 /// The endpoints, by id and by name.
 #[derive(Default)]
 pub struct EndpointTable {
     /// The endpoints; the index is the id.
     pub endpoints: Vec<Endpoint>,
     ids: HashMap<String, EndpointId>,
+    /// The endpoints whose state, address or process changed since they were last taken.
+    changed: Vec<EndpointId>,
 }
 
 impl EndpointTable {
@@ -64,8 +80,7 @@
     pub fn add(
         &mut self,
         name: &str,
-        address: Option<SocketAddr>,
-        state: EndpointState,
+        listed: ListedEndpoint,
         retention: Duration,
         is_referenced: impl Fn(EndpointId) -> bool,
     ) -> EndpointId {
@@ -83,8 +98,9 @@
             }
             None => self.endpoints.push(Endpoint {
                 name: name.to_string(),
-                address,
-                state,
+                address: listed.address,
+                started_unix_ms: listed.started_unix_ms,
+                state: listed.state,
                 changed: now,
                 generation: 0,
                 idle: Vec::new(),
@@ -95,21 +111,35 @@
         id
     }
 
-    /// Sets the state and the address of an endpoint. A change closes its idle connections.
-    pub fn update(&mut self, id: EndpointId, address: Option<SocketAddr>, state: EndpointState) {
+    /// Sets what the list says of an endpoint. A change closes its idle connections.
+    pub fn update(&mut self, id: EndpointId, listed: ListedEndpoint) {
         let endpoint = self.get_mut(id);
-        if endpoint.state != state || endpoint.address != address {
+        let ListedEndpoint { address, started_unix_ms, state } = listed;
+        let known = ListedEndpoint {
+            address: endpoint.address,
+            started_unix_ms: endpoint.started_unix_ms,
+            state: endpoint.state,
+        };
+        if known != listed {
             endpoint.change_state(state);
+            endpoint.address = address;
+            endpoint.started_unix_ms = started_unix_ms;
+            self.changed.push(id);
         }
-        endpoint.address = address;
+    }
+
+    /// Returns the endpoints whose state, address or process changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.changed)
     }
 
     /// Marks every endpoint as removed whose id is not in `listed`.
     pub fn retain(&mut self, listed: &[EndpointId]) {
         for (index, endpoint) in self.endpoints.iter_mut().enumerate() {
-            let is_listed = listed.contains(&EndpointId(index as u32));
-            if !is_listed && endpoint.state != EndpointState::Removed {
+            let id = EndpointId(index as u32);
+            if !listed.contains(&id) && endpoint.state != EndpointState::Removed {
                 endpoint.change_state(EndpointState::Removed);
+                self.changed.push(id);
             }
         }
     }
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -5,5 +5,6 @@
 mod exchange;
 mod pool;
 
+pub use endpoint_table::ListedEndpoint;
 pub use exchange::{AttemptResult, PendingRequest};
 pub use pool::{EndpointPool, RoutingSnapshot};
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -10,7 +10,7 @@
 use tindoor::host::{AttemptStatus, EndpointId, EndpointState};
 
 use super::connection::{ConnectionPermit, EndpointConnection, IdleConnection};
-use super::endpoint_table::EndpointTable;
+use super::endpoint_table::{EndpointTable, ListedEndpoint};
 use crate::configuration::limits::UpstreamLimits;
 use crate::log_throttle::LogThrottle;
 use crate::timeout::with_timeout;
@@ -64,22 +64,21 @@
     pub fn apply_update(
         &self,
         name: &str,
-        address: Option<SocketAddr>,
-        state: EndpointState,
+        listed: ListedEndpoint,
         is_referenced: impl Fn(EndpointId) -> bool,
     ) -> Option<EndpointId> {
         let mut table = self.table.borrow_mut();
         let id = match table.id_of(name) {
             Some(id) => id,
-            None if state == EndpointState::Removed => return None,
+            None if listed.state == EndpointState::Removed => return None,
             None => {
                 let retention = self.limits.removed_endpoint_retention;
-                let id = table.add(name, address, state, retention, is_referenced);
+                let id = table.add(name, listed, retention, is_referenced);
                 tracing::debug!(id = name, slot = id.0, "endpoint added");
                 id
             }
         };
-        table.update(id, address, state);
+        table.update(id, listed);
         Some(id)
     }
 
@@ -88,6 +87,11 @@
         self.table.borrow_mut().retain(listed);
     }
 
+    /// Returns the endpoints whose state, address or process changed since the last call.
+    pub fn take_changed(&self) -> Vec<EndpointId> {
+        self.table.borrow_mut().take_changed()
+    }
+
     /// Counts a purge. Decisions made before it are outdated, as they may accept a purged copy.
     pub fn record_purge(&self) {
         self.purges.set(self.purges.get() + 1);
--- a/crates/router/tests/unit/upstream_pool.rs
+++ b/crates/router/tests/unit/upstream_pool.rs
@@ -23,7 +23,8 @@
     let defaults = Limits::new(LimitInputs::default()).upstream;
     let limits = UpstreamLimits { reuse_delay, idle_timeout: LONG, connect_timeout: LONG, ..defaults };
     let pool = EndpointPool::new(limits);
-    let endpoint = pool.apply_update("c-1", Some(address), EndpointState::Ready, |_| false).unwrap();
+    let listed = ListedEndpoint { address: Some(address), started_unix_ms: 1, state: EndpointState::Ready };
+    let endpoint = pool.apply_update("c-1", listed, |_| false).unwrap();
     let connection = async_io::block_on(pool.connect(endpoint)).ok().unwrap();
     let peer = listener.accept().unwrap().0;
     pool.put_back(endpoint, connection);
@@ -54,3 +55,22 @@
     let Fixture { pool, endpoint, peer: _peer } = pool_with_idle_connection(Duration::ZERO);
     assert!(pool.take_idle(endpoint).is_some());
 }
+
+// Guards against work that goes to the wrong place: a restarted cache that is taken for the process before it.
+#[test]
+fn a_restarted_endpoint_is_another_process_at_the_same_address() {
+    let Fixture { pool, endpoint, peer } = pool_with_idle_connection(Duration::ZERO);
+    let before = pool.snapshot(endpoint, None);
+    let listed = ListedEndpoint {
+        address: Some(peer.local_addr().unwrap()),
+        started_unix_ms: 1,
+        state: EndpointState::Ready,
+    };
+    assert_eq!(pool.apply_update("c-1", listed, |_| false), Some(endpoint));
+    assert!(pool.snapshot(endpoint, None) == before && pool.take_changed().is_empty());
+    let restarted = ListedEndpoint { started_unix_ms: 2, ..listed };
+    assert_eq!(pool.apply_update("c-1", restarted, |_| false), Some(endpoint));
+    assert!(pool.snapshot(endpoint, None) != before, "decisions made before are outdated");
+    assert!(pool.take_idle(endpoint).is_none(), "connections to the process before are closed");
+    assert_eq!(pool.take_changed(), [endpoint]);
+}
--- a/crates/router/tests/upstream.rs
+++ b/crates/router/tests/upstream.rs
@@ -147,6 +147,25 @@
     assert_eq!(fixture.cache.requests(2)[1].connection, 1);
 }
 
+// Guards against work that goes to the wrong place: a restarted cache that is taken for the process before it.
+#[test]
+fn a_restarted_endpoint_gets_new_connections() {
+    let fixture = fixture(|_| Behavior::Respond(served(b"x")));
+    let mut client = Client::connect(&fixture.router);
+    client.request(1, OBJECT);
+    client.reply();
+    fixture.change_stream.wait_for_subscriptions(1);
+    let mut restarted = endpoint_entry("c-1", fixture.cache.address, "cache", "active");
+    // Long ago, so that it is warm.
+    restarted["up_since_ms"] = json!(1);
+    fixture.change_stream.send(&endpoint_list_event(2, vec![restarted]));
+    fixture.change_stream.heartbeat.change(|heartbeat| *heartbeat = Some(2));
+    fixture.cache.closed.wait("the old connection to be closed", |closed| (*closed > 0).then_some(()));
+    client.request(2, OBJECT);
+    assert_eq!(client.reply(), (2, served_reply(b"x")));
+    assert_eq!(fixture.cache.requests(2)[1].connection, 1);
+}
+
 #[test]
 fn no_request_is_sent_on_a_connection_established_after_its_endpoint_was_removed() {
     let stuck = FullBacklogCache::start();
