Begin a process's requests for quota at a random nonce

Change: nonces begin at half of the incarnation, 63 random bits.

Measured: the new test failed before and passes; tests of quota, membership and consensus pass.

--- a/crates/quota/src/participant.rs
+++ b/crates/quota/src/participant.rs
@@ -132,7 +132,8 @@
             keys: BTreeMap::new(),
             leadership: None,
             open_request: None,
-            last_nonce: 0,
+            // Random, so that an answer to an earlier process at this address matches no request of this one.
+            last_nonce: own.0 >> 1,
             unanswered_requests: 0,
             requesters: BTreeMap::new(),
         }
--- a/crates/quota/tests/division.rs
+++ b/crates/quota/tests/division.rs
@@ -343,3 +343,24 @@
     // Units of a key without a limit can always be spent.
     assert!((0..50).all(|_| leader.spend(at(4500), &[BudgetKey { budget: 9, scope: 0 }])));
 }
+
+// Guards against a budget that is exceeded: a grant to a process that has ended reaches the next one at its address.
+#[test]
+fn a_grant_to_an_earlier_process_is_not_accepted() {
+    let plan = plan(rate(100.0, 20.0));
+    let mut leader = participant(1, &plan, SafetyChecks::default());
+    leader.lead(at(0), 1, Some(at(0)));
+    let (earlier_id, later_id) = (0x9000_0000_0000_0007, 0x4000_0000_0000_0003);
+    let mut earlier = participant(earlier_id, &plan, SafetyChecks::default());
+    let mut later = participant(later_id, &plan, SafetyChecks::default());
+    spend_steadily(&mut earlier, 4000, 4100);
+    spend_steadily(&mut later, 4000, 4100);
+    let request = earlier.next_request(at(4100)).expect("no request is pending");
+    leader.lead(at(4100), 1, Some(at(4100)));
+    let answer =
+        leader.grant_request(at(4100), Incarnation(earlier_id), request).expect("the request is new");
+    assert!(answer.grants.iter().any(|granted| granted.quota.rate > 0), "{answer:?}");
+    later.next_request(at(4150)).expect("no request is pending");
+    later.accept_grant(at(4160), answer);
+    assert_eq!(spendable(&mut later, 4200), Quota { rate: 0, burst: UNIT }, "only its guaranteed minimum");
+}
