--- a/crates/consensus/src/messages.rs
+++ b/crates/consensus/src/messages.rs
@@ -3,7 +3,7 @@
 //! The encoding is positional: the order of fields and variants must not change.
 
 use serde::{Deserialize, Serialize};
-use tindoor_membership::{ClockOffset, Incarnation, Member};
+use tindoor_membership::{ClockOffset, Incarnation, Member, bounded_vec};
 use tindoor_policy::{OutcomeCount, Proposal};
 use tindoor_quota::{QuotaGrant, QuotaRequest};
 
@@ -41,6 +41,7 @@
         /// The time by the sender's clock, in microseconds.
         clock_micros: i64,
         /// The clocks that the sender can read, as offsets from its own clock.
+        #[serde(deserialize_with = "bounded_vec")]
         clock_offsets: Vec<ClockOffset>,
         /// The index of the last entry that the sender has applied.
         index: u64,
@@ -50,6 +51,7 @@
         /// The latest confirmation by a quorum of the voters that is known to the sender.
         quorum_confirmation: Option<AgedConfirmation>,
         /// Confirmations of the same index by other peers.
+        #[serde(deserialize_with = "bounded_vec")]
         peer_confirmations: Vec<PeerConfirmation>,
         /// The log entries or the state that the requester is missing.
         catch_up: CatchUp,
@@ -99,6 +101,7 @@
         /// The index of the first entry.
         first: u64,
         /// The encoded entries.
+        #[serde(deserialize_with = "bounded_vec")]
         entries: Vec<Vec<u8>>,
     },
     /// The whole replicated state, encoded.
@@ -150,6 +153,7 @@
         /// The sender's location.
         location: u16,
         /// The outcomes.
+        #[serde(deserialize_with = "bounded_vec")]
         outcomes: Vec<ClassOutcomes>,
     },
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! `docs/design/policy.md` states the guarantees and the assumptions behind them.
 
+mod bounded_vec;
 mod clocks;
 mod failure_detector;
 mod interval;
@@ -11,6 +12,7 @@
 mod member_list;
 mod timings;
 
+pub use bounded_vec::{MAX_ITEMS, bounded_vec};
 pub use clocks::{ClockExchange, ClockOffset, ClockSync};
 pub use failure_detector::FailureDetector;
 pub use interval::{FleetTime, Interval};
--- a/crates/quota/src/messages.rs
+++ b/crates/quota/src/messages.rs
@@ -2,6 +2,7 @@
 //! must not change.
 
 use serde::{Deserialize, Serialize};
+use tindoor_membership::bounded_vec;
 
 use crate::{BudgetKey, Quota};
 
@@ -13,6 +14,7 @@
     /// request.
     pub nonce: u64,
     /// Demand and holdings by key.
+    #[serde(deserialize_with = "bounded_vec")]
     pub demands: Vec<KeyDemand>,
 }
 
@@ -39,6 +41,7 @@
     /// The lender's term if the lender is the leader; 0 if the lender passes on a part of its own grant.
     pub lender_term: u64,
     /// The granted quota, by key.
+    #[serde(deserialize_with = "bounded_vec")]
     pub grants: Vec<Granted>,
 }
 
