Read three times a turn on HTTP/2, so that a flood of resets closes its connection again

Cause, in this series: one read a turn brings some 40 streams, and the library's limit is 64 that are reset before they are accepted, so a flood came under it.

Change: three reads a turn; what they brought is handled before the next, as before.

--- a/crates/router/src/external/connection.rs
+++ b/crates/router/src/external/connection.rs
@@ -22,6 +22,9 @@
 /// How many reads of `REFUSAL_READ_BYTES` discard what has arrived on a refused connection.
 const MAX_REFUSAL_READS: usize = 4;
 const REFUSAL_READ_BYTES: usize = 16 << 10;
+/// How often the HTTP/2 library reads before other tasks run. One read brings too few streams for its limit on those
+/// that a proxy resets before they are accepted.
+const READS_PER_TURN: u32 = 3;
 
 /// How the router closes an idle connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,8 +47,8 @@
     pub requests: RequestCounter,
     /// Whether the first message of a call has ever arrived completely.
     has_begun_call: Cell<bool>,
-    /// Whether the HTTP/2 library has read since other tasks last ran.
-    has_read_in_turn: Cell<bool>,
+    /// How often the HTTP/2 library has read since other tasks last ran.
+    reads_in_turn: Cell<u32>,
     /// Whether an announced close is completed as soon as no call is open, without waiting for the proxy.
     is_finish_requested: Cell<bool>,
 }
@@ -62,7 +65,7 @@
             open_calls: Cell::new(0),
             requests: RequestCounter::default(),
             has_begun_call: Cell::new(false),
-            has_read_in_turn: Cell::new(false),
+            reads_in_turn: Cell::new(0),
             is_finish_requested: Cell::new(false),
         }))
     }
@@ -84,12 +87,14 @@
 
     /// Records that other tasks have run, so that the connection may be read again.
     pub fn begin_read_turn(&self) {
-        self.has_read_in_turn.set(false);
+        self.reads_in_turn.set(0);
     }
 
     /// Records a read. Returns false if other tasks must run first.
     pub fn may_read_in_turn(&self) -> bool {
-        !self.has_read_in_turn.replace(true)
+        let reads = self.reads_in_turn.get() + 1;
+        self.reads_in_turn.set(reads);
+        reads <= READS_PER_TURN
     }
 
     /// Counts a call as open until the returned value is dropped.
--- a/crates/router/src/external/grpc/connection.rs
+++ b/crates/router/src/external/grpc/connection.rs
@@ -145,7 +145,8 @@
     /// proxy has not confirmed it in time.
     timer: Timer,
     is_close_announced: bool,
-    /// Whether other tasks run before the next event. What one read has brought is handled before the next read.
+    /// Whether other tasks run before the next event. What the reads of one turn have brought is handled
+    /// before the next.
     is_turn_over: bool,
 }
 
