Let the test of incomplete messages of peers build

Cause: it was committed with a borrow that does not build.

Change: the connection is read through a shared reference.

--- a/crates/router/tests/untrusted_peers.rs
+++ b/crates/router/tests/untrusted_peers.rs
@@ -274,6 +274,7 @@
     fixture.assert_evictions_logged("fleet");
     // Those whose messages still fit are not closed.
     let is_open = |connection: &&mut TcpStream| {
+        let mut connection: &TcpStream = connection;
         connection.set_read_timeout(Some(PIECE_INTERVAL)).unwrap();
         connection.read(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
     };
