Close a proxy's connection that abandons a thousand streams in a row

Seen: beside other tests a flood of WINDOW_UPDATE frames let 24 calls of 25 through in 2 s (calls_are_answered_beside_a_flood_of_http2_frames), as three reads a turn are 1,900 frames. With one read the library's limit of 64 resets was not met, and a flood of resets went on for good.

Change: one read a turn again; the router itself counts the streams that a proxy abandons and closes the connection (ENHANCE_YOUR_CALM, a warning) after 1,024 with no answer between. Clients that leave by the hundreds do not reach it.

--- a/crates/router/src/configuration/limits/proxy.rs
+++ b/crates/router/src/configuration/limits/proxy.rs
@@ -11,6 +11,8 @@
 /// One in this many connections of proxies is kept available for new proxies. Their connections take longer to
 /// close than those of clients, as the close is announced first.
 const PROXY_RESERVE_DIVISOR: usize = 4;
+/// The maximum number of open streams on one connection.
+const MAX_STREAMS: usize = 1 << 10;
 /// One in this many bytes of the memory is for stored idempotency keys, at most; it is charged to complete messages.
 const IDEMPOTENCY_KEYS_DIVISOR: usize = 6;
 /// One in this many bytes of the memory is for finished requests of proxies, at most; charged likewise.
@@ -32,6 +34,8 @@
     /// The maximum number of streams that a proxy may reset before they are accepted, and the number of reset
     /// streams that are remembered.
     pub max_reset_streams: usize,
+    /// The maximum number of streams in a row that a proxy may abandon before their final answer.
+    pub max_abandoned_streams: usize,
     /// The maximum cost of small frames that wait to be read on one connection, in the HTTP/2 library's cost
     /// units.
     pub data_frame_budget: usize,
@@ -74,10 +78,11 @@
         let max_connections = (client_connections / PROXY_CONNECTIONS_DIVISOR).max(1);
         Self {
             connections: ConnectionLimits::new(max_connections, max_connections / PROXY_RESERVE_DIVISOR),
-            max_streams: 1 << 10,
+            max_streams: MAX_STREAMS,
             max_header_list_bytes: 16 << 10,
             max_message_bytes: 64 << 10,
             max_reset_streams: 64,
+            max_abandoned_streams: MAX_STREAMS,
             data_frame_budget: 2 * 256 * (1 << 10),
             max_unsent_bytes: 16 << 10,
             read_chunk_bytes: READ_CHUNK_BYTES,
--- a/crates/router/src/external/connection.rs
+++ b/crates/router/src/external/connection.rs
@@ -22,9 +22,6 @@
 /// How many reads of `REFUSAL_READ_BYTES` discard what has arrived on a refused connection.
 const MAX_REFUSAL_READS: usize = 4;
 const REFUSAL_READ_BYTES: usize = 16 << 10;
-/// How often the HTTP/2 library reads before other tasks run. One read brings too few streams for its limit on those
-/// that a proxy resets before they are accepted.
-const READS_PER_TURN: u32 = 3;
 
 /// How the router closes an idle connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,8 +44,10 @@
     pub requests: RequestCounter,
     /// Whether the first message of a call has ever arrived completely.
     has_begun_call: Cell<bool>,
-    /// How often the HTTP/2 library has read since other tasks last ran.
-    reads_in_turn: Cell<u32>,
+    /// Whether the HTTP/2 library has read since other tasks last ran.
+    has_read_in_turn: Cell<bool>,
+    /// How many streams the proxy has abandoned since one got its final answer.
+    abandoned_streams: Cell<usize>,
     /// Whether an announced close is completed as soon as no call is open, without waiting for the proxy.
     is_finish_requested: Cell<bool>,
 }
@@ -65,7 +64,8 @@
             open_calls: Cell::new(0),
             requests: RequestCounter::default(),
             has_begun_call: Cell::new(false),
-            reads_in_turn: Cell::new(0),
+            has_read_in_turn: Cell::new(false),
+            abandoned_streams: Cell::new(0),
             is_finish_requested: Cell::new(false),
         }))
     }
@@ -80,6 +80,22 @@
         self.has_begun_call.set(true);
     }
 
+    /// Records that a stream has got its final answer.
+    pub fn record_answer(&self) {
+        self.abandoned_streams.set(0);
+    }
+
+    /// Records that the proxy has abandoned a stream.
+    pub fn record_abandoned_stream(&self) {
+        self.abandoned_streams.set(self.abandoned_streams.get() + 1);
+        self.state.wake();
+    }
+
+    /// Returns how many streams the proxy has abandoned since one got its final answer.
+    pub fn abandoned_streams(&self) -> usize {
+        self.abandoned_streams.get()
+    }
+
     /// Returns whether the first message of a call has ever arrived completely.
     pub fn has_begun_call(&self) -> bool {
         self.has_begun_call.get()
@@ -87,14 +103,12 @@
 
     /// Records that other tasks have run, so that the connection may be read again.
     pub fn begin_read_turn(&self) {
-        self.reads_in_turn.set(0);
+        self.has_read_in_turn.set(false);
     }
 
     /// Records a read. Returns false if other tasks must run first.
     pub fn may_read_in_turn(&self) -> bool {
-        let reads = self.reads_in_turn.get() + 1;
-        self.reads_in_turn.set(reads);
-        reads <= READS_PER_TURN
+        !self.has_read_in_turn.replace(true)
     }
 
     /// Counts a call as open until the returned value is dropped.
--- a/crates/router/src/external/grpc/connection.rs
+++ b/crates/router/src/external/grpc/connection.rs
@@ -97,18 +97,41 @@
     proxy.state().record_message(Instant::now());
     // One timer for the whole connection, as creating a timer costs a system call.
     let timer = Timer::after(limits.idle_timeout);
-    let mut connection =
-        Http2Connection { proxy, http2, timer, is_close_announced: false, is_turn_over: true };
+    let mut connection = Http2Connection {
+        proxy,
+        http2,
+        timer,
+        is_close_announced: false,
+        max_abandoned_streams: limits.max_abandoned_streams,
+        is_turn_over: true,
+    };
     loop {
         match connection.next_event().await? {
             Event::Stream(stream) => {
                 proxy.state().record_message(Instant::now());
                 begin_stream(router, proxy, names, *stream);
             }
+            Event::TooManyAbandoned => {
+                if let Some(times) = router.malformed_log.record() {
+                    let (peer, streams) = (proxy.peer_address(), proxy.abandoned_streams());
+                    tracing::warn!(
+                        ?peer,
+                        streams,
+                        times,
+                        "proxy connection closed: too many streams abandoned"
+                    );
+                }
+                let finish = connection.finish(Reason::ENHANCE_YOUR_CALM);
+                return with_timeout(router.limits.shutdown.final_write_timeout, finish).await;
+            }
             Event::CloseRequested => connection.announce_close(limits),
             Event::TimerFired => connection.timer_fired(limits),
             Event::CloseDue => {
-                return with_timeout(router.limits.shutdown.final_write_timeout, connection.finish()).await;
+                return with_timeout(
+                    router.limits.shutdown.final_write_timeout,
+                    connection.finish(Reason::NO_ERROR),
+                )
+                .await;
             }
             Event::Ended => return Ok(()),
         }
@@ -145,13 +168,15 @@
     /// proxy has not confirmed it in time.
     timer: Timer,
     is_close_announced: bool,
-    /// Whether other tasks run before the next event. What the reads of one turn have brought is handled
-    /// before the next.
+    max_abandoned_streams: usize,
+    /// Whether other tasks run before the next event. What one read has brought is handled before the next.
     is_turn_over: bool,
 }
 
 enum Event {
     Stream(Box<AcceptedStream>),
+    /// The proxy has abandoned too many streams in a row.
+    TooManyAbandoned,
     /// The connection is to be closed.
     CloseRequested,
     /// The announced close is to be completed, and no stream is open.
@@ -185,6 +210,9 @@
             Poll::Pending => {}
         }
         self.proxy.state().register(context);
+        if self.proxy.abandoned_streams() > self.max_abandoned_streams {
+            return Poll::Ready(Ok(Event::TooManyAbandoned));
+        }
         if !self.is_close_announced && self.proxy.state().phase() >= Phase::Closing {
             return Poll::Ready(Ok(Event::CloseRequested));
         }
@@ -217,8 +245,8 @@
 
     /// Sends the final GOAWAY frame without waiting any longer for the proxy: streams that arrive later are
     /// not run, and the proxy knows that from the frame.
-    async fn finish(mut self) -> io::Result<()> {
-        self.http2.abrupt_shutdown(Reason::NO_ERROR);
+    async fn finish(mut self, reason: Reason) -> io::Result<()> {
+        self.http2.abrupt_shutdown(reason);
         future::poll_fn(|context| {
             self.proxy.begin_read_turn();
             self.http2.poll_closed(context)
--- a/crates/router/src/external/grpc/mod.rs
+++ b/crates/router/src/external/grpc/mod.rs
@@ -74,7 +74,7 @@
     let status = match exchange::serve(router, &mut stream, names).await {
         Ok(()) => GrpcStatus::OK,
         Err(StreamEnd::Status(status)) => status,
-        Err(StreamEnd::Gone) => return,
+        Err(StreamEnd::Gone) => return proxy.record_abandoned_stream(),
     };
     if status != GrpcStatus::OK
         && let Some(times) = router.malformed_log.record()
--- a/crates/router/src/external/grpc/stream.rs
+++ b/crates/router/src/external/grpc/stream.rs
@@ -133,6 +133,7 @@
     /// Charges the stream as one on which nothing has to arrive any more: its call has its final answer, and it may
     /// be ended at any time.
     pub fn end_call(&mut self) {
+        self.proxy.record_answer();
         self.received.complete();
         self.received.set_task_bytes(self.memory_limits.stream_bytes);
     }
