Evict first the streams of connections that hold many without a call

Seen: calls_without_a_report_stay_within_memory failed once in four beside others: the stream of a usual proxy was ended, as 60 flooding proxies had made calls as well and all ranked alike.

Change: a proxy's connection counts as one that sends complete messages while at most four of its streams have no call under way. Such streams begin or end within milliseconds on a usual one.

--- a/crates/router/src/external/connection.rs
+++ b/crates/router/src/external/connection.rs
@@ -17,11 +17,14 @@
     ConnectionState, ManagedConnection, Phase, discard_until_closed, half_close, half_close_unless_unread,
     has_unread_bytes,
 };
+use crate::memory::Standing;
 use crate::timeout::with_timeout;
 
 /// How many reads of `REFUSAL_READ_BYTES` discard what has arrived on a refused connection.
 const MAX_REFUSAL_READS: usize = 4;
 const REFUSAL_READ_BYTES: usize = 16 << 10;
+/// The number of streams without a call under way up to which a connection's streams are not the first to be evicted.
+const MAX_PROVEN_WAITING_STREAMS: usize = 4;
 
 /// How the router closes an idle connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +45,8 @@
     open_calls: Cell<usize>,
     /// The requests in flight that began on the connection.
     pub requests: RequestCounter,
+    /// The gRPC calls that have begun and have no final answer.
+    pub calls_under_way: RequestCounter,
     /// Whether the first message of a call has ever arrived completely.
     has_begun_call: Cell<bool>,
     /// Whether the HTTP/2 library has read since other tasks last ran.
@@ -63,6 +68,7 @@
             close_method,
             open_calls: Cell::new(0),
             requests: RequestCounter::default(),
+            calls_under_way: RequestCounter::default(),
             has_begun_call: Cell::new(false),
             has_read_in_turn: Cell::new(false),
             abandoned_streams: Cell::new(0),
@@ -96,9 +102,11 @@
         self.abandoned_streams.get()
     }
 
-    /// Returns whether the first message of a call has ever arrived completely.
-    pub fn has_begun_call(&self) -> bool {
-        self.has_begun_call.get()
+    /// Returns the standing of the connection's incomplete messages: it has to have made a call, and to have few streams
+    /// on which no call is under way.
+    pub fn standing(&self) -> Standing {
+        let waiting_streams = self.open_calls.get().saturating_sub(self.calls_under_way.get());
+        Standing::of(self.has_begun_call.get() && waiting_streams <= MAX_PROVEN_WAITING_STREAMS)
     }
 
     /// Records that other tasks have run, so that the connection may be read again.
--- a/crates/router/src/external/grpc/connection.rs
+++ b/crates/router/src/external/grpc/connection.rs
@@ -21,7 +21,7 @@
 use crate::configuration::limits::ProxyLimits;
 use crate::connections::{ManagedConnection, Phase, listener_names};
 use crate::external::connection::ProxyConnection;
-use crate::memory::{IncomingMessage, Sender, Standing};
+use crate::memory::{IncomingMessage, Sender};
 use crate::state::RouterState;
 use crate::timeout::with_timeout;
 
@@ -148,7 +148,7 @@
     let sender = Sender { listener: listener_names::EXTERNAL_PROCESSING, address: proxy.peer_address() };
     let mut received = IncomingMessage::new(&router.memory.incoming, sender);
     received.set_task_bytes(router.limits.memory.stream_bytes);
-    if received.hold(Standing::of(proxy.has_begun_call())).is_err() {
+    if received.hold(proxy.standing()).is_err() {
         return respond.send_reset(Reason::REFUSED_STREAM);
     }
     let (proxy, call, router) = (Rc::clone(proxy), proxy.begin_call(), Rc::clone(router));
--- a/crates/router/src/external/grpc/exchange.rs
+++ b/crates/router/src/external/grpc/exchange.rs
@@ -46,7 +46,7 @@
     stream: &mut MessageStream<'_>,
     request: &CheckedRequest,
 ) -> Result<(), StreamEnd> {
-    let Some(_memory) = stream.begin_call(router) else {
+    let Some(_call_under_way) = stream.begin_call(router) else {
         let rejected = CallReply::Rejected(router.engine.retry_after(), RefusalReason::NoCapacity);
         let refusal = final_response_to_request(&rejected, request.refusal_reason.as_deref());
         stream.end_call();
--- a/crates/router/src/external/grpc/stream.rs
+++ b/crates/router/src/external/grpc/stream.rs
@@ -13,7 +13,8 @@
 use crate::configuration::limits::{MemoryLimits, ProxyLimits};
 use crate::connections::WorkTurn;
 use crate::external::connection::ProxyConnection;
-use crate::memory::{Evicted, IncomingMessage, MemoryReservation, Standing, out_of_memory};
+use crate::external::request_counter::CountedRequest;
+use crate::memory::{Evicted, IncomingMessage, MemoryReservation, out_of_memory};
 use crate::state::RouterState;
 use crate::timeout::with_timeout;
 
@@ -90,6 +91,12 @@
     }
 }
 
+/// A call that has begun and has no final answer. Dropping it returns its memory.
+pub struct CallUnderWay {
+    _memory: MemoryReservation,
+    _counted: CountedRequest,
+}
+
 /// The two directions of one stream.
 pub struct MessageStream<'a> {
     limits: &'a ProxyLimits,
@@ -123,11 +130,11 @@
 
     /// Moves the charge of the stream to the budget of complete messages, as its call has begun. `None` if that
     /// budget is used up.
-    pub fn begin_call(&mut self, router: &RouterState) -> Option<MemoryReservation> {
+    pub fn begin_call(&mut self, router: &RouterState) -> Option<CallUnderWay> {
         let memory = router.memory.complete.reserve(self.memory_limits.stream_bytes)?;
         self.proxy.record_call();
         self.received.set_task_bytes(0);
-        Some(memory)
+        Some(CallUnderWay { _memory: memory, _counted: self.proxy.calls_under_way.count() })
     }
 
     /// Charges the stream as one on which nothing has to arrive any more: its call has its final answer, and it may
@@ -150,7 +157,7 @@
                 self.received.complete();
                 return phase_of(message).map(Some);
             }
-            self.received.hold(Standing::of(self.proxy.has_begun_call()))?;
+            self.received.hold(self.proxy.standing())?;
             let (receiver, received) = (&mut self.receiver, &self.received);
             let data = async { Ok(receiver.data().await) };
             let evicted = async { Err(received.evicted().await) };
@@ -188,7 +195,7 @@
     /// Waits until the proxy's window has capacity for this many bytes. Resets the stream if that takes
     /// longer than the write timeout, or if the stream is ended to free memory.
     pub async fn reserve(&mut self, bytes: usize) -> Result<(), StreamEnd> {
-        self.received.hold(Standing::of(self.proxy.has_begun_call()))?;
+        self.received.hold(self.proxy.standing())?;
         self.sender.reserve_capacity(bytes);
         let (sender, received) = (&mut self.sender, &self.received);
         let reserved = async {
