Decide on a connection's share in a module of its own, and test what had no test

Need: the rule that keeps one connection from filling the table stood among the table's I/O with no test of its edges; nothing would have seen the loss of the bounds that follow from memory_mb, nor of the withdrawal of kept decisions when a cache restarts.

--- a/crates/router/src/configuration/limits/mod.rs
+++ b/crates/router/src/configuration/limits/mod.rs
@@ -167,3 +167,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/limits.rs"]
+mod tests;
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod checks;
 mod connection;
+mod connection_share;
 mod grpc;
 mod http;
 mod request;
@@ -32,6 +33,7 @@
 use crate::memory::{MemoryAccount, MemoryReservation};
 use call::Call;
 use connection::ProxyConnection;
+use connection_share::Usage;
 use request_counter::RequestCounter;
 use table_host::{Host, InFlight};
 
@@ -129,20 +131,15 @@
     }
 
     /// Whether there is room for a further request that begins on the call's connection.
-    ///
-    /// The last quarter of the requests and of the memory is for connections that hold little of them, so that one
-    /// connection can't keep the others out.
     fn has_room(&self, call: &Call) -> bool {
-        let max_requests = self.engine.max_in_flight(self.max_requests);
-        let used_requests = self.engine.open_requests();
-        let (free_bytes, max_bytes) = (self.memory.complete.free_bytes(), self.memory.complete.max_bytes());
-        if used_requests >= max_requests || free_bytes < self.call_bytes {
-            return false;
-        }
-        let is_nearly_full = used_requests * 4 >= max_requests * 3 || free_bytes * 4 < max_bytes;
-        let requests = call.connection_requests.get();
-        let holds_little = requests * 8 < max_requests && requests * self.call_bytes * 8 < max_bytes;
-        !is_nearly_full || holds_little
+        let usage = Usage {
+            max_requests: self.engine.max_in_flight(self.max_requests),
+            requests: self.engine.open_requests(),
+            max_bytes: self.memory.complete.max_bytes(),
+            free_bytes: self.memory.complete.free_bytes(),
+            request_bytes: self.call_bytes,
+        };
+        usage.admits(call.connection_requests.get())
     }
 
     /// Handles a proxy's request for a routing decision. The replies arrive in the call's mailbox.
--- a/crates/router/tests/external_processing.rs
+++ b/crates/router/tests/external_processing.rs
@@ -84,7 +84,7 @@
 
 /// A router with both fronts, one cache and an origin that never responds.
 struct Fixture {
-    _discovery: ChangeStream,
+    discovery: ChangeStream,
     cache: Cache,
     router: Router,
 }
@@ -107,7 +107,7 @@
     let mut configuration = configuration(log.address, members);
     change(&mut configuration);
     let router = Router::start_with(&configuration, &start);
-    Fixture { _discovery: log, cache, router }
+    Fixture { discovery: log, cache, router }
 }
 
 /// A client of the plain HTTP front.
@@ -266,6 +266,40 @@
     assert_eq!(call("2").messages, ["immediate 502"]);
 }
 
+// Guards against work that goes to the wrong place: a decision kept for the proxy's next call while its cache restarts.
+#[test]
+fn a_kept_decision_is_withdrawn_if_its_endpoint_restarts() {
+    let mut fixture = fixture();
+    let mut client = PlainCallClient::connect(fixture.router.front("call"));
+    let path = format!("/v1/store/pages/{OBJECT}/3");
+    let decision = client.request(&plain_call(&path, "00000000000000c7", 1, ""));
+    let lease = header(&decision, "x-tindoor-lease").unwrap();
+    let names = format!("x-ticket: 00000000000000c7\r\nx-tindoor-lease: {lease}");
+    let report = format!("POST /report HTTP/1.1\r\n{names}\r\nx-tindoor-failed: unreachable\r\n\r\n");
+    let reply = client.request(&report);
+    assert_eq!(header(&reply, "x-tindoor-again"), Some("1"), "{reply}");
+    let entries = [("c-1", "cache"), ("o-1", "origin")].map(|(id, flavor)| {
+        let mut entry = endpoint_entry(id, fixture.cache.address, flavor, "active");
+        // Long ago, so that it is warm.
+        entry["up_since_ms"] = json!(1);
+        entry
+    });
+    fixture.discovery.wait_for_subscriptions(1);
+    let list = json!({"revision": 2, "complete": false, "members": entries});
+    fixture.discovery.send(&format!("{}\n", json!({"seq": 2, "fleet": list})));
+    fixture
+        .router
+        .log
+        .wait("the list", |log| log.iter().any(|line| line.contains("sequence: 2")).then_some(()));
+    let further = client.request(&plain_call(&path, "00000000000000c7", 2, ""));
+    assert!(header(&further, "x-tindoor-address").is_some(), "the engine decides again: {further}");
+    fixture.router.terminate();
+    assert!(fixture.router.wait().success());
+    let withdrawn =
+        |log: &mut Vec<String>| log.iter().any(|line| line.contains("withdrawn: 1,")).then_some(());
+    fixture.router.log.wait("the kept decision to be withdrawn", withdrawn);
+}
+
 // Guards against a report that is taken for another process's: a router that comes up where another has ended.
 #[test]
 fn a_report_on_a_decision_of_an_earlier_process_is_refused() {
