Remember a client's non-idempotent request that may have run

Cause: the ids of requests were known only while in flight.

Change: ids of non-idempotent requests of which an attempt was sent that may have run are kept for the longest wait (RecentIds, RecentRuns), charged to the memory account, the oldest forgotten first. Whether a status says that nothing ran stands once, on AttemptStatus.

--- a/crates/external-requests/src/table/reports.rs
+++ b/crates/external-requests/src/table/reports.rs
@@ -29,7 +29,7 @@
         self.count_late_use(&report);
         let Report { outcome, stored_result, .. } = report;
         let Some(request) = self.requests.get_mut(&number) else { return };
-        if certainly_did_not_run(outcome.status) {
+        if outcome.status.certainly_did_not_run() {
             request.clear_first_run(&lease);
         }
         let attempt_index = lease.decision.attempt_index;
@@ -110,15 +110,3 @@
         self.finish(now, host, number, Completion { call, reply, result: None });
     }
 }
-
-/// Whether an attempt with this status certainly did not run. This says nothing about earlier attempts of the
-/// same request.
-fn certainly_did_not_run(status: AttemptStatus) -> bool {
-    matches!(
-        status,
-        AttemptStatus::Overloaded
-            | AttemptStatus::Unreachable
-            | AttemptStatus::Superseded
-            | AttemptStatus::Miss
-    )
-}
--- a/crates/request-runtime/src/lib.rs
+++ b/crates/request-runtime/src/lib.rs
@@ -9,6 +9,7 @@
 mod in_flight_ids;
 mod lifecycle;
 mod mailbox;
+mod recent_ids;
 mod timer;
 
 pub use admission::{AdmissionGate, AdmittedRequest, AttemptCharge};
@@ -19,4 +20,5 @@
 pub use in_flight_ids::{InFlightId, InFlightIds};
 pub use lifecycle::{AttemptEnd, FinalAnswer, IncomingRequest, RequestTransport, run_request};
 pub use mailbox::Mailbox;
+pub use recent_ids::RecentIds;
 pub use timer::WakeTimer;
--- a/crates/router/src/configuration/limits/client.rs
+++ b/crates/router/src/configuration/limits/client.rs
@@ -2,12 +2,17 @@
 
 use std::time::Duration;
 
+use tindoor_request_runtime::RecentIds;
+
 use super::{ConnectionLimits, FRAME_TIMEOUT, INITIAL_READ_BYTES, READ_CHUNK_BYTES, WRITE_TIMEOUT};
 
 /// One in this many client connections is kept available for new clients.
 pub(super) const RESERVE_DIVISOR: usize = 8;
 /// One in this many bytes of the memory is for rejections and health replies that wait to be written.
 const UNWRITTEN_REPLIES_DIVISOR: usize = 32;
+/// One in this many bytes of the memory is for ids of non-idempotent requests that may have run, at most; it is charged
+/// to complete messages.
+const RECENT_RUNS_DIVISOR: usize = 32;
 /// What a rejection or health reply occupies until it is written, in bytes.
 const REPLY_BYTES: usize = 256;
 /// The bounds of the number of unwritten replies of one client connection.
@@ -23,6 +28,8 @@
     pub max_open_calls: usize,
     /// The number of unwritten replies above which the router stops reading from a connection.
     pub max_unwritten_replies: usize,
+    /// The maximum number of ids of non-idempotent requests that may have run that are remembered.
+    pub max_recent_runs: usize,
     /// The maximum size of a frame, without its length prefix, in bytes.
     pub max_frame_bytes: usize,
     /// The size up to which a frame is copied, in bytes, so that a request does not keep the frames in memory that
@@ -64,6 +71,7 @@
             max_open_calls: 32,
             max_unwritten_replies: (replies_bytes / REPLY_BYTES)
                 .clamp(MIN_UNWRITTEN_REPLIES, MAX_UNWRITTEN_REPLIES),
+            max_recent_runs: memory / RECENT_RUNS_DIVISOR / RecentIds::ENTRY_BYTES,
             max_frame_bytes: 64 << 10,
             max_copied_frame_bytes: READ_CHUNK_BYTES,
             max_field_bytes: 128,
--- a/crates/router/src/downstream/mod.rs
+++ b/crates/router/src/downstream/mod.rs
@@ -3,9 +3,11 @@
 mod connection;
 mod frame_reader;
 mod listener;
+mod recent_runs;
 mod request;
 mod request_fields;
 mod session;
 mod writer;
 
 pub use listener::{ClientHandler, bind};
+pub use recent_runs::RecentRuns;
--- a/crates/router/src/downstream/request.rs
+++ b/crates/router/src/downstream/request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use futures_lite::future;
 use tindoor::host::{AttemptStatus, Outcome, RequestSlot};
+use tindoor::settings::Idempotency;
 use tindoor::time::Span;
 use tindoor_http::EndpointRequest;
 use tindoor_request_runtime::{
@@ -51,6 +52,8 @@
     connection: &'a Connection,
     open_call: &'a OpenCall,
     fields: &'a RequestFields<'a>,
+    /// The number of attempts that were sent and may have run.
+    possible_runs: Cell<u32>,
 }
 
 impl RequestTransport for ClientTransport<'_> {
@@ -84,7 +87,11 @@
             let status = request.time_limit_reached().await;
             AttemptResult::without_response(status)
         };
-        future::or(exchange, time_limit).await
+        let result = future::or(exchange, time_limit).await;
+        if request.is_sent.get() && result.status.certainly_did_not_run() {
+            self.possible_runs.set(self.possible_runs.get() - 1);
+        }
+        result
     }
 }
 
@@ -172,6 +179,7 @@
         let (index, after_ms) = (self.attempt.index, self.attempt.issued_at.elapsed().as_millis() as u64);
         tracing::debug!(request = slot.0, index, after_ms, "attempt sent");
         self.is_sent.set(true);
+        self.transport.possible_runs.set(self.transport.possible_runs.get() + 1);
     }
 }
 
@@ -197,15 +205,23 @@
     if !mailbox.is_empty() {
         return Err(aborted(call.sequence_id, &[]));
     }
-    // Endpoints distinguish requests by their ids, so an id may be in flight only once.
-    let _id = state
-        .in_flight_ids
-        .reserve(fields.id)
-        .ok_or_else(|| aborted(call.sequence_id, &[("reason", REQUEST_ID)]))?;
+    // Endpoints distinguish requests by their ids, so an id may be in flight only once, and the id of a
+    // non-idempotent request that may have run must not be used again.
+    let is_non_idempotent =
+        state.classes[usize::from(fields.meta.class)].idempotency == Idempotency::NonIdempotent;
+    let id_in_use = || aborted(call.sequence_id, &[("reason", REQUEST_ID)]);
+    let _id = state.in_flight_ids.reserve(fields.id).ok_or_else(id_in_use)?;
+    if is_non_idempotent && state.recent_runs.contains(fields.id) {
+        return Err(id_in_use());
+    }
     let time_remaining = time_remaining(state, call, fields.timeout);
-    let transport = ClientTransport { state, connection, open_call, fields: &fields };
+    let possible_runs = Cell::new(0);
+    let transport = ClientTransport { state, connection, open_call, fields: &fields, possible_runs };
     let request = IncomingRequest { slot: *slot, mailbox, meta: fields.meta, time_remaining };
     run_request(&state.engine, request, &transport).await;
+    if is_non_idempotent && transport.possible_runs.get() > 0 {
+        state.recent_runs.remember(fields.id);
+    }
     Ok(())
 }
 
--- a/crates/router/src/server/startup.rs
+++ b/crates/router/src/server/startup.rs
@@ -17,6 +17,7 @@
 use crate::configuration::{Configuration, Fronts};
 use crate::connections::{Acceptor, ConnectionHandler, ListenerRegistry, listener_names};
 use crate::discovery::{WatchMetrics, apply_event};
+use crate::downstream::RecentRuns;
 use crate::external::{ExternalProcessing, GrpcHandler, PlainHandler};
 use crate::fleet::{Fleet, LocalRouter};
 use crate::log_throttle::LogThrottle;
@@ -66,6 +67,7 @@
         fleet,
         signed_urls,
         in_flight_ids,
+        recent_runs: RecentRuns::new(&limits.client, &memory),
         endpoints: EndpointPool::new(limits.upstream),
         listeners,
         unwritten_replies: Rc::default(),
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,6 +12,7 @@
 use crate::configuration::limits::Limits;
 use crate::connections::ListenerRegistry;
 use crate::discovery::WatchMetrics;
+use crate::downstream::RecentRuns;
 use crate::external::ExternalProcessing;
 use crate::fleet::Fleet;
 use crate::log_throttle::LogThrottle;
@@ -41,6 +42,8 @@
     pub signed_urls: Option<SignedUrls>,
     /// The ids of the requests in flight, across all listeners.
     pub in_flight_ids: InFlightIds,
+    /// The ids of clients' non-idempotent requests that may have run.
+    pub recent_runs: RecentRuns,
     /// The endpoints and the connections to them.
     pub endpoints: EndpointPool,
     /// The connections of all listeners.
--- a/crates/router/tests/requests.rs
+++ b/crates/router/tests/requests.rs
@@ -245,3 +245,43 @@
     // The connection ends without a reset.
     assert_eq!(client.0.read(&mut [0]).unwrap(), 0);
 }
+
+/// Returns the fields of a non-idempotent request with this id.
+fn order(id: &str) -> Vec<(&str, &str)> {
+    let mut fields = page(OBJECT, "3000");
+    fields[0].1 = "orders";
+    fields[1].1 = id;
+    fields
+}
+
+// Guards against a request that runs twice: a client leaves, and its non-idempotent id comes again.
+#[test]
+fn the_id_of_a_non_idempotent_request_that_may_have_run_is_not_run_again() {
+    const ID: &str = "00000000000000c1";
+    let fixture = fixture(|_| Behavior::Hang);
+    let mut client = Client::connect(&fixture.router);
+    client.send(&call(1, &order(ID), b""));
+    let is_at_endpoint = || fixture.cache.count() + fixture.origin.count() > 0;
+    until("the request to be sent", is_at_endpoint);
+    drop(client);
+    fixture.wait_for_log("attempt ended");
+    let mut client = Client::connect(&fixture.router);
+    client.send(&call(1, &order(ID), b""));
+    let Reply::Failed(fields) = client.reply().1 else { panic!("the id is not run again") };
+    assert_eq!(fields.get("reason").map(String::as_str), Some("trace"));
+    assert_eq!(fixture.cache.count() + fixture.origin.count(), 1);
+    // Another id runs.
+    client.send(&call(2, &order("00000000000000c2"), b""));
+    until("another request to be sent", || fixture.cache.count() + fixture.origin.count() == 2);
+}
+
+#[test]
+fn the_id_of_a_non_idempotent_request_that_did_not_run_may_be_used_again() {
+    const ID: &str = "00000000000000c3";
+    let fixture = fixture(|_| Behavior::Respond(served(b"x")));
+    let mut client = Client::connect(&fixture.router);
+    // Withdrawn in the same breath, so that it comes to no endpoint.
+    client.send(&[call(1, &order(ID), b""), cancel(1)].concat());
+    client.send(&call(2, &order(ID), b""));
+    assert!(matches!(client.reply(), (2, Reply::Served { .. })));
+}
--- a/crates/router/tests/unit/limits.rs
+++ b/crates/router/tests/unit/limits.rs
@@ -20,6 +20,11 @@
     assert_eq!([small.max_finished_requests, large.max_finished_requests], [17_857, 107_142]);
 }
 
+#[test]
+fn the_remembered_runs_of_clients_follow_from_the_configured_memory() {
+    assert_eq!([32, 192].map(|memory_mb| limits(memory_mb).client.max_recent_runs), [15_625, 93_750]);
+}
+
 #[test]
 fn the_unwritten_replies_of_a_client_follow_from_memory_and_descriptors() {
     assert_eq!(
--- a/src/host.rs
+++ b/src/host.rs
@@ -130,6 +130,14 @@
     Miss,
 }
 
+impl AttemptStatus {
+    /// Returns whether an attempt with this status certainly did not run. This says nothing about other attempts of
+    /// the same request.
+    pub fn certainly_did_not_run(self) -> bool {
+        matches!(self, Self::Overloaded | Self::Unreachable | Self::Superseded | Self::Miss)
+    }
+}
+
 /// What an endpoint reports about how it produced its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum OutcomeDetail {
